--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/model/FleetObjects.kt
@@ -0,0 +1,14 @@
+package org.hibiscusproxy.model
+
+import kotlinx.serialization.Serializable
+
+/** The whole set of objects that operators publish together. */
+@Serializable
+data class FleetObjects(
+    val teams: List<Team> = emptyList(),
+    val services: List<Service> = emptyList(),
+    val dataCenters: List<DataCenter> = emptyList(),
+    val links: List<Link> = emptyList(),
+    val targets: List<Target> = emptyList(),
+    val routingRules: List<RoutingRule> = emptyList(),
+)
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/model/Team.kt
@@ -0,0 +1,16 @@
+package org.hibiscusproxy.model
+
+import kotlinx.serialization.Serializable
+
+/**
+ * A customer whose requests share the targets with other teams.
+ *
+ * @property share weight in fair queueing; a team with share 2 gets twice the slots of a team with
+ *   share 1 while both have requests waiting
+ */
+@Serializable
+data class Team(
+    val name: TeamName,
+    val share: Int = 1,
+    val defaultPriority: Priority = Priority.NORMAL,
+)
