--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
@@ -1,6 +1,14 @@
 package org.hibiscusproxy.daemon
 
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import org.hibiscusproxy.daemon.command.SettingsPageCommand
+import org.hibiscusproxy.daemon.command.TimelineCommand
+
 /** Starts the command line of hibiscusproxy. */
+@OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
-    println("hibiscusproxy ${arguments.joinToString(" ")}")
+    val parser = ArgParser("hibiscusproxy")
+    parser.subcommands(TimelineCommand(), SettingsPageCommand())
+    parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
 }
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/SettingsPageCommand.kt
@@ -0,0 +1,15 @@
+package org.hibiscusproxy.daemon.command
+
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import org.hibiscusproxy.daemon.settings.SettingsPage
+
+/** `settings-page`: prints the reference of all settings as Markdown. */
+@OptIn(ExperimentalCli::class)
+class SettingsPageCommand :
+    Subcommand("settings-page", "Print the reference of all settings as Markdown") {
+    override fun execute() {
+        print(SettingsPage.render())
+        ExitCode.DONE.exit()
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
@@ -0,0 +1,62 @@
+package org.hibiscusproxy.daemon.process
+
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.hibiscusproxy.daemon.administration.AdministrationServer
+import org.hibiscusproxy.timeline.EventRecorder
+import org.hibiscusproxy.timeline.FleetEvent
+import org.slf4j.LoggerFactory
+
+/** A process of the fleet: its roles and its administration page, started and stopped together. */
+class FleetProcess(
+    private val roles: List<FleetRole>,
+    private val administration: AdministrationServer,
+    private val events: EventRecorder,
+) : AutoCloseable {
+    private val stopping = AtomicBoolean()
+
+    /** Whether all roles take new work and no shutdown has begun. */
+    val isReady: Boolean get() = !stopping.get() && roles.all { it.isReady }
+
+    /** Starts all roles. */
+    suspend fun start() {
+        administration.start()
+        roles.forEach { it.start() }
+        events.record(FleetEvent.ProcessStarted(roles.map { it.name }))
+        logger.info("process: Started as {}.", roles.joinToString { it.name })
+    }
+
+    /**
+     * Becomes unready, takes no new work and waits for what is in progress.
+     *
+     * @return requests that were cut off because [timeout] ran out
+     */
+    suspend fun shutDown(timeout: Duration): Int {
+        if (!stopping.compareAndSet(false, true)) return 0
+        val inProgress = roles.sumOf { it.inProgress }
+        events.record(FleetEvent.ProcessStopping(inProgress))
+        logger.info("process: Stopping with {} requests in progress.", inProgress)
+        val cutOff = coroutineScope {
+            roles.map { role -> async { role.drain(timeout) } }.awaitAll().sum()
+        }
+        close()
+        if (cutOff == 0) {
+            logger.info("process: Stopped. No request was cut off.")
+        } else {
+            logger.warn("process: Stopped. {} requests were cut off after {}.", cutOff, timeout)
+        }
+        return cutOff
+    }
+
+    override fun close() {
+        roles.forEach { it.close() }
+        administration.close()
+    }
+
+    private companion object {
+        val logger = LoggerFactory.getLogger(FleetProcess::class.java)
+    }
+}
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -10,24 +10,35 @@
 /**
  * Settings of one process, read from a JSON file with comments. A process plays each role whose
  * section is present.
- *
- * @property administration where `/health`, `/ready` and `/metrics` are served
- * @property controllers the fleet's controllers, by name, with the address of their peer listener
- * @property fleetKeyFile file with the key that all processes and operators share
- * @property eventFile file that takes the process's events for the timeline; none when null
  */
 @Serializable
 data class Settings(
+    @Setting("Name of the process, unique in the fleet.")
     val name: ProcessName,
+    @Setting("Name of the data centre that the process runs in.")
     val dataCenter: DataCenterName,
+    @Setting("IP number and port where /health, /ready and /metrics are served.")
     val administration: NetworkAddress,
+    @Setting("File with the key that all processes and operators of the fleet share.")
     val fleetKeyFile: String,
+    @Setting("The fleet's controllers: name and peer address of each.")
     val controllers: List<ControllerAddress>,
+    @Setting("File that takes the process's events for the timeline; none when null.")
     val eventFile: String? = null,
+    @Setting("Form of log lines on standard output: text or json.")
     val logFormat: LogFormat = LogFormat.TEXT,
+    @Setting(
+        "Time that a graceful shutdown gives requests in progress to finish.",
+        unit = "seconds",
+        minimum = 0.0,
+        maximum = 3600.0,
+    )
     val shutdownSeconds: Int = 60,
+    @Setting("Section of the entry role; absent when the process is no entry.")
     val entry: EntrySettings? = null,
+    @Setting("Section of the sidecar role; absent when the process is no sidecar.")
     val sidecar: SidecarSettings? = null,
+    @Setting("Section of the controller role; absent when the process is no controller.")
     val controller: ControllerSettings? = null,
 )
 
@@ -45,43 +56,89 @@
 
 /** Name and peer address of one controller. */
 @Serializable
-data class ControllerAddress(val name: ProcessName, val address: NetworkAddress)
+data class ControllerAddress(
+    @Setting("Name of the controller process.")
+    val name: ProcessName,
+    @Setting("IP number and port of its listener for processes of the fleet.")
+    val address: NetworkAddress,
+)
 
 /** Settings of the entry role. */
 @Serializable
 data class EntrySettings(
+    @Setting("IP number and port of the listener for callers.")
     val listen: NetworkAddress,
+    @Setting(
+        "Largest request body that is accepted.",
+        unit = "bytes",
+        minimum = 1024.0,
+        maximum = 8_000_000.0,
+    )
     val maximumBodyBytes: Int = 4_194_304,
+    @Setting("Attempts that one request may use.", minimum = 1.0, maximum = 20.0)
     val maximumAttempts: Int = 4,
-    /** Retries allowed as a share of requests, 0 to 1. */
+    @Setting("Retries allowed as a share of requests.", minimum = 0.0, maximum = 1.0)
     val retryBudget: Double = 0.2,
-    /** Placement policy by name, see the operators' page. */
+    @Setting("Placement policy by name.")
     val placement: String = "bounded-affinity",
 )
 
 /** Settings of the sidecar role. */
 @Serializable
 data class SidecarSettings(
+    @Setting("Name of the target that the sidecar stands beside.")
     val target: TargetName,
+    @Setting("IP number and port of the listener for entries.")
     val listen: NetworkAddress,
-    /** Base URL of the target, by IP number. */
+    @Setting("Base URL of the target, by IP number.")
     val targetUrl: String,
+    @Setting("Requests that may wait at the sidecar.", minimum = 0.0, maximum = 10_000.0)
     val maximumQueue: Int = 64,
+    @Setting(
+        "Time that a request may wait at the sidecar.",
+        unit = "milliseconds",
+        minimum = 0.0,
+        maximum = 600_000.0,
+    )
     val queueMilliseconds: Long = 10_000,
 )
 
 /** Settings of the controller role. */
 @Serializable
 data class ControllerSettings(
-    /** Listener for other processes of the fleet. */
+    @Setting("IP number and port of the listener for processes of the fleet.")
     val listen: NetworkAddress,
-    /** Listener for operators. */
+    @Setting("IP number and port of the listener for operators.")
     val operators: NetworkAddress,
+    @Setting("Folder for the replicated log and snapshots; used by one process at a time.")
     val dataFolder: String,
+    @Setting(
+        "Length of the leases that sidecars hold.",
+        unit = "milliseconds",
+        minimum = 500.0,
+        maximum = 60_000.0,
+    )
     val leaseMilliseconds: Long = 3_000,
+    @Setting(
+        "Shortest time without a leader's message before an election.",
+        unit = "milliseconds",
+        minimum = 50.0,
+        maximum = 60_000.0,
+    )
     val electionMilliseconds: Long = 600,
+    @Setting(
+        "Time between a leader's heartbeats.",
+        unit = "milliseconds",
+        minimum = 10.0,
+        maximum = 10_000.0,
+    )
     val heartbeatMilliseconds: Long = 150,
+    @Setting(
+        "Log entries after which a snapshot replaces them.",
+        minimum = 16.0,
+        maximum = 1_000_000.0,
+    )
     val snapshotEntries: Int = 4_096,
-    /** Base URL of the platform's instance list; not polled when null. */
+    @Setting("Base URL of the platform's instance list; not polled when null.")
     val platformUrl: String? = null,
 )
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsReader.kt
@@ -0,0 +1,109 @@
+package org.hibiscusproxy.daemon.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+
+/** Reads settings files and checks them as a whole, so that all faults are reported at once. */
+object SettingsReader {
+    private val json = Json {
+        allowComments = true
+        allowTrailingComma = true
+    }
+
+    /** Reads and checks [file]. */
+    fun read(file: Path): Result<Settings, List<SettingsFault>> {
+        val text = try {
+            file.readText()
+        } catch (failure: IOException) {
+            return Err(listOf(SettingsFault.Unreadable(file.toString(), failure.describe())))
+        }
+        return parse(text)
+    }
+
+    /** Checks settings given as [text]. */
+    fun parse(text: String): Result<Settings, List<SettingsFault>> {
+        val element = try {
+            json.decodeFromString(JsonElement.serializer(), text)
+        } catch (failure: SerializationException) {
+            return Err(listOf(SettingsFault.NotJson(failure.firstLine())))
+        }
+        val shapeFaults = SettingsShapeCheck().check(element, Settings.serializer().descriptor)
+        if (shapeFaults.isNotEmpty()) return Err(shapeFaults)
+        val settings = json.decodeFromJsonElement(Settings.serializer(), element)
+        val faults = inconsistencies(settings)
+        return if (faults.isEmpty()) Ok(settings) else Err(faults)
+    }
+
+    private fun inconsistencies(settings: Settings): List<SettingsFault> = buildList {
+        if (listOf(settings.entry, settings.sidecar, settings.controller).all { it == null }) {
+            add("", "no role: one of entry, sidecar, controller is needed")
+        }
+        if (settings.name.value.isBlank()) add("name", "must not be blank")
+        if (settings.controllers.isEmpty()) add("controllers", "at least one is needed")
+        addDuplicateControllers(settings)
+        settings.controller?.let { addControllerFaults(settings, it) }
+        settings.sidecar?.let { addSidecarFaults(it) }
+        addSharedListeners(settings)
+    }
+
+    private fun MutableList<SettingsFault>.addDuplicateControllers(settings: Settings) {
+        val names = settings.controllers.map { it.name }
+        names.filter { name -> names.count { it == name } > 1 }.distinct().forEach {
+            add("controllers", "two controllers are named $it")
+        }
+    }
+
+    private fun MutableList<SettingsFault>.addControllerFaults(
+        settings: Settings,
+        controller: ControllerSettings,
+    ) {
+        if (settings.controllers.none { it.name == settings.name }) {
+            add("controllers", "the controller ${settings.name} is not in the list")
+        }
+        if (controller.heartbeatMilliseconds * 3 > controller.electionMilliseconds) {
+            val limit = controller.electionMilliseconds / 3
+            val value = controller.heartbeatMilliseconds
+            add(
+                "controller.heartbeatMilliseconds",
+                "must be at most a third of electionMilliseconds ($limit): $value",
+            )
+        }
+    }
+
+    private fun MutableList<SettingsFault>.addSidecarFaults(sidecar: SidecarSettings) {
+        if (!TARGET_URL.matches(sidecar.targetUrl)) {
+            add("sidecar.targetUrl", "expected http://IP:port: ${sidecar.targetUrl}")
+        }
+    }
+
+    private fun MutableList<SettingsFault>.addSharedListeners(settings: Settings) {
+        val listeners = listOfNotNull(
+            settings.administration,
+            settings.entry?.listen,
+            settings.sidecar?.listen,
+            settings.controller?.listen,
+            settings.controller?.operators,
+        )
+        listeners.filter { address -> listeners.count { it == address } > 1 }.distinct().forEach {
+            add("", "two listeners share $it")
+        }
+    }
+
+    private fun MutableList<SettingsFault>.add(path: String, message: String) {
+        add(SettingsFault.Inconsistent(path, message))
+    }
+
+    private fun SerializationException.firstLine(): String =
+        message.orEmpty().lineSequence().first()
+
+    private fun IOException.describe(): String = "${this::class.simpleName}: $message"
+
+    private val TARGET_URL = Regex("""https?://[0-9a-fA-F.:\[\]]+:\d{1,5}/?""")
+}
