--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
@@ -0,0 +1,206 @@
+package org.hibiscusproxy.admission
+
+import kotlin.math.min
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.OperationalState
+import org.hibiscusproxy.model.Service
+import org.hibiscusproxy.model.Target
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.model.TeamName
+import org.hibiscusproxy.protocol.Attempt
+import org.hibiscusproxy.protocol.Dispatch
+import org.hibiscusproxy.protocol.Fingerprint
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.LeaseGrant
+import org.hibiscusproxy.protocol.LoadReport
+import org.hibiscusproxy.protocol.NotRunReason
+
+/**
+ * Admission beside one target. An attempt runs when the sidecar holds a lease that lets new work
+ * in and fewer requests run than the smallest of capacity, cold start limit and load bound;
+ * otherwise it waits in a bounded fair queue or is refused.
+ *
+ * @property target name of the target this sidecar stands beside
+ * @property incarnation of this sidecar; attempts for another one are refused
+ * @property maximumQueue waiting attempts over all teams
+ * @property queueTime longest wait
+ */
+class TargetAdmission(
+    private val target: TargetName,
+    private val incarnation: Incarnation,
+    private val maximumQueue: Int,
+    private val queueTime: Duration,
+    private val timeSource: TimeSource.WithComparableMarks,
+) : AdmissionController {
+    private val running = LinkedHashMap<Attempt, Running>()
+    private val history = AttemptHistory(timeSource, HISTORY_RETENTION)
+    private val queue = FairQueue(timeSource, ageing = AGEING)
+    private var shares = emptyMap<TeamName, Int>()
+    private var configured: Target? = null
+    private var service: Service? = null
+    private var state = OperationalState.OUT
+    private var coldStart = ColdStartLimit(1, 1)
+    private var lease: LeaseGrant? = null
+    private var leaseEnd: ComparableTimeMark? = null
+    private var refusedFingerprints = emptySet<Fingerprint>()
+    private var fingerprintsExpireAt: ComparableTimeMark? = null
+    private var isShutDown = false
+
+    override fun configure(state: FleetState) {
+        val found = state.objects.targets.find { it.name == target }
+        if (found != null && !found.hasSameCapacity(configured)) {
+            coldStart = ColdStartLimit(found.coldCapacity, found.capacity)
+        }
+        configured = found
+        service = state.objects.services.find { it.name == found?.service }
+        shares = state.objects.teams.associate { it.name to it.share }
+        this.state = found?.let { state.stateOf(it) } ?: OperationalState.OUT
+    }
+
+    override fun renew(lease: LeaseGrant, requestedAt: ComparableTimeMark): List<AdmissionEvent> {
+        val end = requestedAt + lease.durationMilliseconds.milliseconds
+        val isNewer = this.lease == null || lease.version >= this.lease!!.version
+        if (isNewer && (leaseEnd == null || end > leaseEnd!!)) {
+            this.lease = lease
+            leaseEnd = end
+        }
+        return advance()
+    }
+
+    override fun offer(dispatch: Dispatch): AdmissionDecision {
+        if (dispatch.incarnation != incarnation) return refuse(NotRunReason.OLD_INCARNATION)
+        if (!history.record(dispatch.attempt)) return refuse(NotRunReason.STALE_ATTEMPT)
+        blockedBy()?.let { return refuse(it) }
+        if (isFingerprintRefused(dispatch.fingerprint)) return refuse(NotRunReason.CRASHES_TARGETS)
+        if (dispatch.remainingMilliseconds <= 0) return refuse(NotRunReason.DEADLINE)
+        if (queue.size == 0 && running.size < limit()) {
+            queue.charge(dispatch.team, shareOf(dispatch.team))
+            start(dispatch)
+            return AdmissionDecision.Admitted
+        }
+        if (queue.size >= maximumQueue) return refuse(NotRunReason.OVERLOADED)
+        val wait = minOf(queueTime, dispatch.remainingMilliseconds.milliseconds)
+        queue.add(dispatch, timeSource.markNow() + wait)
+        return AdmissionDecision.Queued
+    }
+
+    override fun confirm(attempt: Attempt): NotRunReason? {
+        val entry = running[attempt] ?: return NotRunReason.STALE_ATTEMPT
+        val reason = blockedBy()
+            ?: NotRunReason.DEADLINE.takeIf { entry.deadline.hasPassedNow() }
+        if (reason != null) running.remove(attempt)
+        return reason
+    }
+
+    override fun cancelWaiting(attempt: Attempt): Boolean = queue.remove(attempt)
+
+    override fun firstByte(attempt: Attempt) {
+        val entry = running[attempt] ?: return
+        if (entry.hasFirstByte) return
+        entry.hasFirstByte = true
+        coldStart.firstByte(entry.since.elapsedNow())
+    }
+
+    override fun finish(attempt: Attempt, result: AttemptResult): List<AdmissionEvent> {
+        running.remove(attempt)
+        if (result == AttemptResult.TARGET_LOST || result == AttemptResult.UNREACHABLE) {
+            coldStart.reset()
+        }
+        return advance()
+    }
+
+    override fun targetReported(report: TargetReport) {
+        if (!report.warm) coldStart.reset()
+    }
+
+    override fun refuseFingerprints(fingerprints: Set<Fingerprint>, duration: Duration) {
+        refusedFingerprints = fingerprints
+        fingerprintsExpireAt = timeSource.markNow() + duration
+    }
+
+    override fun advance(): List<AdmissionEvent> {
+        val events = ArrayList<AdmissionEvent>()
+        queue.removeExpired().mapTo(events) { refuseWaiting(it, NotRunReason.QUEUE_TIMEOUT) }
+        val blocked = blockedBy()
+        if (blocked != null) {
+            queue.clear().mapTo(events) { refuseWaiting(it, blocked) }
+            return events
+        }
+        while (running.size < limit()) {
+            val next = queue.poll(::shareOf) ?: break
+            start(next)
+            events += AdmissionEvent.Admit(next.attempt)
+        }
+        return events
+    }
+
+    override fun shutDown(): List<AdmissionEvent> {
+        isShutDown = true
+        return advance()
+    }
+
+    override fun report(): LoadReport = LoadReport(running.size, queue.size, limit())
+
+    private fun blockedBy(): NotRunReason? {
+        val current = lease
+        return when {
+            isShutDown -> NotRunReason.LEAVING
+            current == null || leaseEnd!!.hasPassedNow() -> NotRunReason.NO_LEASE
+            current.state == OperationalState.OUT || state == OperationalState.OUT ->
+                NotRunReason.LEAVING
+            else -> null
+        }
+    }
+
+    private fun limit(): Int {
+        val configured = configured ?: return 0
+        val bound = lease?.let {
+            LoadBound.of(it.pool, service?.loadMultiple ?: 1.25, service?.loadFloor ?: 1)
+        } ?: 0
+        return min(min(configured.capacity, coldStart.limit), bound)
+    }
+
+    private fun start(dispatch: Dispatch) {
+        val now = timeSource.markNow()
+        val deadline = now + dispatch.remainingMilliseconds.milliseconds
+        running[dispatch.attempt] = Running(dispatch.fingerprint, now, deadline)
+    }
+
+    private fun shareOf(team: TeamName): Int = shares[team] ?: 1
+
+    private fun isFingerprintRefused(fingerprint: Fingerprint): Boolean =
+        fingerprint in refusedFingerprints && fingerprintsExpireAt?.hasNotPassedNow() == true
+
+    private fun refuse(reason: NotRunReason): AdmissionDecision =
+        AdmissionDecision.Refused(reason, retryAfter(reason))
+
+    private fun refuseWaiting(dispatch: Dispatch, reason: NotRunReason): AdmissionEvent =
+        AdmissionEvent.Refuse(dispatch.attempt, reason, retryAfter(reason))
+
+    private fun retryAfter(reason: NotRunReason): Duration = when (reason) {
+        NotRunReason.OVERLOADED, NotRunReason.QUEUE_TIMEOUT -> 1.seconds
+        else -> Duration.ZERO
+    }
+
+    private fun Target.hasSameCapacity(other: Target?): Boolean =
+        other != null && capacity == other.capacity && coldCapacity == other.coldCapacity
+
+    private class Running(
+        val fingerprint: Fingerprint,
+        val since: ComparableTimeMark,
+        val deadline: ComparableTimeMark,
+    ) {
+        var hasFirstByte = false
+    }
+
+    private companion object {
+        val HISTORY_RETENTION = 10.minutes
+        val AGEING = 2.seconds
+    }
+}
