Add deployments: whole fleets on loopback from one description

Cause: the demonstration, the measurements and the integration tests need the same fleets, and settings written by hand for 20 processes drift apart. Ruled out: one settings file for all processes, since a real process learns only its own.

--- /dev/null
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/Deployment.kt
@@ -0,0 +1,179 @@
+package org.hibiscusproxy.standins.deployment
+
+import org.hibiscusproxy.model.DataCenter
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.FleetObjects
+import org.hibiscusproxy.model.Link
+import org.hibiscusproxy.model.ModelName
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.Priority
+import org.hibiscusproxy.model.Service
+import org.hibiscusproxy.model.ServiceKind
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.Target
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.model.Team
+import org.hibiscusproxy.model.TeamName
+
+/**
+ * A whole fleet on one machine's loopback: data centres, workers with their sidecars, entries and
+ * controllers, each with fixed ports counted from [basePort].
+ *
+ * @property chatWorkers model engines, spread over the data centres in turn
+ * @property plainWorkers instances of the plain service, spread likewise
+ */
+class Deployment private constructor(builder: Builder) {
+    val name: String = builder.name
+    val region: String = builder.region
+    val dataCenters: List<DataCenterName> = builder.dataCenters.toList()
+    val linkMilliseconds: Double = builder.linkMilliseconds
+    val chatService: ServiceName = builder.chatService
+    val plainService: ServiceName = builder.plainService
+    val model: ModelName = builder.model
+    val chatWorkers: Int = builder.chatWorkers
+    val plainWorkers: Int = builder.plainWorkers
+    val entries: Int = builder.entries
+    val controllers: Int = builder.controllers
+    val basePort: Int = builder.basePort
+    val capacity: Int = builder.capacity
+    val coldCapacity: Int = builder.coldCapacity
+    val teams: List<Team> = builder.teams.toList()
+
+    /** All workers: the engines first, then the instances of the plain service. */
+    val workers: List<Worker> = List(chatWorkers + plainWorkers) { index ->
+        val isEngine = index < chatWorkers
+        val number = if (isEngine) index + 1 else index - chatWorkers + 1
+        val dataCenter = dataCenters[(number - 1) % dataCenters.size]
+        val service = if (isEngine) chatService else plainService
+        Worker(
+            name = TargetName("$service-$number"),
+            service = service,
+            dataCenter = dataCenter,
+            isEngine = isEngine,
+            address = address(WORKER_OFFSET + index),
+            sidecar = address(SIDECAR_OFFSET + index),
+            administration = address(SIDECAR_ADMINISTRATION_OFFSET + index),
+        )
+    }
+
+    /** The objects that operators publish for this fleet. */
+    val objects: FleetObjects = FleetObjects(
+        teams = teams,
+        services = listOf(
+            Service(chatService, ServiceKind.Chat(listOf(model))),
+            Service(plainService, ServiceKind.Plain()),
+        ),
+        dataCenters = dataCenters.map { DataCenter(it, region) },
+        links = dataCenters.flatMapIndexed { index, first ->
+            dataCenters.drop(index + 1).map { Link(first, it, linkMilliseconds) }
+        },
+        targets = workers.map { worker ->
+            Target(
+                name = worker.name,
+                service = worker.service,
+                dataCenter = worker.dataCenter,
+                sidecar = worker.sidecar,
+                models = if (worker.isEngine) listOf(model) else emptyList(),
+                capacity = capacity,
+                coldCapacity = coldCapacity,
+            )
+        },
+    )
+
+    /** Loopback address at [offset] ports from the base. */
+    fun address(offset: Int): NetworkAddress = NetworkAddress("127.0.0.1", basePort + offset)
+
+    /** One worker with the sidecar beside it. */
+    data class Worker(
+        val name: TargetName,
+        val service: ServiceName,
+        val dataCenter: DataCenterName,
+        val isEngine: Boolean,
+        val address: NetworkAddress,
+        val sidecar: NetworkAddress,
+        val administration: NetworkAddress,
+    )
+
+    /** Collects the parts of a [Deployment]. */
+    class Builder(val name: String) {
+        var region: String = "region"
+        var dataCenters: List<DataCenterName> = listOf(DataCenterName("dc-1"))
+        var linkMilliseconds: Double = 0.5
+        var chatService: ServiceName = ServiceName("chat")
+        var plainService: ServiceName = ServiceName("booking")
+        var model: ModelName = ModelName("hibiscus-7b")
+        var chatWorkers: Int = 2
+        var plainWorkers: Int = 1
+        var entries: Int = 1
+        var controllers: Int = 1
+        var basePort: Int = DEFAULT_BASE_PORT
+        var capacity: Int = 64
+        var coldCapacity: Int = 8
+        var teams: List<Team> = teams(large = 3, small = 7)
+
+        /** Checks the parts and makes the deployment. */
+        fun build(): Deployment {
+            require(dataCenters.isNotEmpty()) { "a deployment needs a data centre: $name" }
+            require(chatWorkers + plainWorkers in 0..MAXIMUM_WORKERS) {
+                "at most $MAXIMUM_WORKERS workers: ${chatWorkers + plainWorkers}"
+            }
+            require(entries in 1..MAXIMUM_ENTRIES) { "entries must be 1..10: $entries" }
+            require(controllers in 1..MAXIMUM_CONTROLLERS) { "controllers: $controllers" }
+            return Deployment(this)
+        }
+    }
+
+    companion object {
+        const val DEFAULT_BASE_PORT = 21_000
+        internal const val CONTROLLER_OFFSET = 0
+        internal const val OPERATORS_OFFSET = 10
+        internal const val CONTROLLER_ADMINISTRATION_OFFSET = 20
+        internal const val ENTRY_OFFSET = 30
+        internal const val ENTRY_ADMINISTRATION_OFFSET = 40
+        internal const val WORKER_OFFSET = 100
+        internal const val SIDECAR_OFFSET = 200
+        internal const val SIDECAR_ADMINISTRATION_OFFSET = 300
+        private const val MAXIMUM_WORKERS = 100
+        private const val MAXIMUM_ENTRIES = 10
+        private const val MAXIMUM_CONTROLLERS = 9
+
+        /** Teams of unequal size: [large] ones with share 4 and [small] ones with share 1. */
+        fun teams(large: Int, small: Int): List<Team> =
+            List(large) { Team(TeamName("large-${it + 1}"), 4, Priority.INTERACTIVE) } +
+                List(small) { Team(TeamName("small-${it + 1}"), 1, Priority.NORMAL) }
+
+        /** Two data centres, three engines, one plain service: enough to see everything once. */
+        fun demonstration(): Builder = Builder("demo").apply {
+            dataCenters = listOf(DataCenterName("dc-1"), DataCenterName("dc-2"))
+            chatWorkers = 3
+            plainWorkers = 1
+            entries = 2
+        }
+
+        /** Popravljalnica Skupaj's three data centres in Ljubljana. */
+        fun skupaj(): Builder = Builder("skupaj").apply {
+            region = "ljubljana"
+            dataCenters = List(3) { DataCenterName("lj-${it + 1}") }
+            linkMilliseconds = 1.5
+            chatService = ServiceName("diagnosis")
+            plainService = ServiceName("booking")
+            chatWorkers = 6
+            plainWorkers = 3
+            entries = 3
+            controllers = 3
+        }
+
+        /** Volta Pathscan's four data centres in southern Ghana. */
+        fun volta(): Builder = Builder("volta").apply {
+            region = "southern-ghana"
+            dataCenters = List(4) { DataCenterName("gh-${it + 1}") }
+            linkMilliseconds = 0.5
+            chatService = ServiceName("drafting")
+            plainService = ServiceName("orders")
+            chatWorkers = 6
+            plainWorkers = 4
+            entries = 4
+            controllers = 3
+        }
+    }
+}
