Add the scenario language: one step a line, all faults reported at once

Cause: proofs are wanted as scripts that people can read. Ruled out: JSON, which hides the order of steps, and a Kotlin builder, which operators would not read.

--- /dev/null
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioParser.kt
@@ -0,0 +1,157 @@
+package org.hibiscusproxy.standins.scenario
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Reads the scenario language: one step a line, words separated by spaces, `#` starts a comment.
+ * All faults of a script are reported at once.
+ */
+object ScenarioParser {
+    /** A line that is no step. */
+    data class Fault(val line: Int, val text: String, val message: String)
+
+    /** Parses the script [text]. */
+    fun parse(name: String, text: String): Result<Scenario, List<Fault>> {
+        val guards = ArrayList<String>()
+        val steps = ArrayList<NumberedStep>()
+        val faults = ArrayList<Fault>()
+        text.lines().forEachIndexed { index, raw ->
+            val line = raw.substringBefore('#').trim()
+            val words = line.split(Regex("\\s+")).filter { it.isNotEmpty() }
+            when (words.firstOrNull()) {
+                null -> Unit
+                "guards" -> guards += words.drop(1).joinToString(" ")
+                else -> try {
+                    steps += NumberedStep(index + 1, step(Words(words)))
+                } catch (failure: IllegalArgumentException) {
+                    faults += Fault(index + 1, line, failure.message.orEmpty())
+                }
+            }
+        }
+        if (guards.isEmpty()) faults += Fault(0, "", "no line says what the scenario guards")
+        return if (faults.isEmpty()) Ok(Scenario(name, guards, steps)) else Err(faults)
+    }
+
+    private fun step(words: Words): ScenarioStep {
+        val verb = words.next("a step")
+        val action = ScenarioStep.ProcessAction.entries.find { it.word == verb }
+        val step = when {
+            verb == "start" && words.isAtEnd -> ScenarioStep.StartAll
+            action != null -> ScenarioStep.Act(action, words.next("a process"))
+            else -> otherStep(verb, words)
+        }
+        words.expectEnd()
+        return step
+    }
+
+    private fun otherStep(verb: String, words: Words): ScenarioStep = when (verb) {
+        "fleet" -> fleet(words)
+        "publish" -> ScenarioStep.Publish
+        "load" -> load(words)
+        "end-load" -> ScenarioStep.EndLoad
+        "wait" -> ScenarioStep.Wait(words.duration())
+        "mark" -> ScenarioStep.Mark(words.next("a name"))
+        "out", "in" -> ScenarioStep.Operate(
+            words.oneOf(ScenarioStep.Subject.entries) { it.word },
+            words.next("a name"),
+            isOut = verb == "out",
+        )
+        "race" -> ScenarioStep.Race(words.rest())
+        "expect" -> expectation(words)
+        else -> throw IllegalArgumentException("unknown step: $verb")
+    }
+
+    private fun fleet(words: Words): ScenarioStep {
+        val kind = words.next("demo, skupaj or volta")
+        require(kind in setOf("demo", "skupaj", "volta")) { "unknown fleet: $kind" }
+        val options = words.options(setOf("controllers", "entries", "engine"))
+        return ScenarioStep.Fleet(
+            kind = kind,
+            controllers = options["controllers"]?.whole("controllers"),
+            entries = options["entries"]?.whole("entries"),
+            engineOptions = options["engine"]?.split(',').orEmpty(),
+        )
+    }
+
+    private fun load(words: Words): ScenarioStep {
+        val known = setOf("rate", "for", "bookings", "streams", "tokens")
+        val options = words.options(known)
+        return ScenarioStep.Load(
+            rate = options["rate"]?.decimal("rate") ?: DEFAULT_RATE,
+            duration = options["for"]?.let { Duration.parse(it) } ?: DEFAULT_DURATION,
+            bookingShare = options["bookings"]?.decimal("bookings") ?: 0.0,
+            streamShare = options["streams"]?.decimal("streams") ?: 1.0,
+            answerTokens = options["tokens"]?.whole("tokens") ?: DEFAULT_TOKENS,
+        )
+    }
+
+    private fun expectation(words: Words): ScenarioStep {
+        val subject = words.next("no-work, work or a figure")
+        return when (subject) {
+            "no-work" -> ScenarioStep.ExpectNoWork(
+                words.next("a data centre or target"),
+                words.after("since"),
+            )
+            "work" -> ScenarioStep.ExpectWork(
+                words.next("a data centre or target"),
+                Duration.parse(words.after("within")),
+            )
+            else -> ScenarioStep.ExpectFigure(
+                requireNotNull(ScenarioStep.Figure.entries.find { it.word == subject }) {
+                    "unknown figure: $subject"
+                },
+                words.oneOf(ScenarioStep.Comparison.entries) { it.word },
+                words.next("a number").decimal(subject),
+            )
+        }
+    }
+
+    private fun String.whole(name: String): Int =
+        requireNotNull(toIntOrNull()) { "$name must be a whole number: $this" }
+
+    private fun String.decimal(name: String): Double =
+        requireNotNull(toDoubleOrNull()) { "$name must be a number: $this" }
+
+    private class Words(private val words: List<String>) {
+        private var position = 0
+        val isAtEnd: Boolean get() = position == words.size
+
+        fun next(what: String): String =
+            requireNotNull(words.getOrNull(position++)) { "expected $what" }
+
+        fun after(keyword: String): String {
+            val word = next(keyword)
+            require(word == keyword) { "expected $keyword, found $word" }
+            return next("a value after $keyword")
+        }
+
+        fun duration(): Duration = Duration.parse(next("a time such as 4s"))
+
+        fun rest(): List<String> = words.drop(position).also { position = words.size }
+
+        fun <T> oneOf(values: List<T>, word: (T) -> String): T {
+            val found = next(values.joinToString(" or ", transform = word))
+            return requireNotNull(values.find { word(it) == found }) {
+                "expected one of ${values.joinToString(transform = word)}, found $found"
+            }
+        }
+
+        fun options(known: Set<String>): Map<String, String> = buildMap {
+            while (!isAtEnd) {
+                val key = next("an option")
+                require(key in known) { "unknown option: $key" }
+                put(key, next("a value for $key"))
+            }
+        }
+
+        fun expectEnd() = require(isAtEnd) { "unexpected: ${rest().joinToString(" ")}" }
+    }
+
+    private const val DEFAULT_RATE = 10.0
+    private const val DEFAULT_TOKENS = 32
+    private val DEFAULT_DURATION = 10.seconds
+}
--- /dev/null
+++ b/hibiscusproxy-standins/src/test/kotlin/org/hibiscusproxy/standins/scenario/ScenarioParserTest.kt
@@ -0,0 +1,80 @@
+package org.hibiscusproxy.standins.scenario
+
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrThrow
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.Nested
+
+/** Guards against scripts whose mistyped checks would be skipped silently. */
+class ScenarioParserTest {
+    @Nested
+    inner class Reading {
+        @Test
+        fun `reads every kind of step`() {
+            val scenario = ScenarioParser.parse(
+                "sample",
+                """
+                guards a drained data centre gets no new work # one sentence
+                fleet volta controllers 3 entries 2
+                start
+                load rate 40 for 20s bookings 0.1
+                kill controller-1
+                start controller-1
+                out data-center gh-1
+                mark quiet
+                expect no-work gh-1 since quiet
+                expect work gh-1 within 10s
+                race controller-1 controller-2
+                expect wrong = 0
+                """.trimIndent(),
+            ).getOrThrow { AssertionError(it.toString()) }
+
+            assertEquals(listOf("a drained data centre gets no new work"), scenario.guards)
+            assertEquals(
+                listOf(
+                    ScenarioStep.Fleet("volta", 3, 2, emptyList()),
+                    ScenarioStep.StartAll,
+                    ScenarioStep.Load(40.0, 20.seconds, 0.1, 1.0, 32),
+                    ScenarioStep.Act(ScenarioStep.ProcessAction.KILL, "controller-1"),
+                    ScenarioStep.Act(ScenarioStep.ProcessAction.START, "controller-1"),
+                    ScenarioStep.Operate(ScenarioStep.Subject.DATA_CENTER, "gh-1", true),
+                    ScenarioStep.Mark("quiet"),
+                    ScenarioStep.ExpectNoWork("gh-1", "quiet"),
+                    ScenarioStep.ExpectWork("gh-1", 10.seconds),
+                    ScenarioStep.Race(listOf("controller-1", "controller-2")),
+                    ScenarioStep.ExpectFigure(
+                        ScenarioStep.Figure.WRONG,
+                        ScenarioStep.Comparison.EQUAL,
+                        0.0,
+                    ),
+                ),
+                scenario.steps.map { it.step },
+            )
+        }
+    }
+
+    @Nested
+    inner class Refusing {
+        @Test
+        fun `reports all faults with their lines`() {
+            val faults = ScenarioParser.parse(
+                "sample",
+                "fleet mars\nexpect wrongs = 0\nkill\nwait 3 s\nload speed 3",
+            ).getError().orEmpty()
+
+            assertEquals(
+                listOf(
+                    "1: unknown fleet: mars",
+                    "2: unknown figure: wrongs",
+                    "3: expected a process",
+                    "4: Invalid duration string format: '3'.",
+                    "5: unknown option: speed",
+                    "0: no line says what the scenario guards",
+                ),
+                faults.map { "${it.line}: ${it.message}" },
+            )
+        }
+    }
+}
