--- /dev/null
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/EngineServer.kt
@@ -0,0 +1,90 @@
+package org.hibiscusproxy.standins.engine
+
+import io.javalin.config.JavalinConfig
+import org.eclipse.jetty.ee10.servlet.ServletHolder
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.standins.answers.ChatRequest
+import org.hibiscusproxy.standins.http.StandInServer
+import org.hibiscusproxy.standins.http.answer
+import org.hibiscusproxy.standins.http.fail
+import org.hibiscusproxy.standins.http.read
+
+/** HTTP interface of one stand-in engine. */
+class EngineServer private constructor(
+    private val engine: Engine,
+    private val server: StandInServer,
+) : AutoCloseable {
+    /** Where the engine listens. */
+    val address: NetworkAddress get() = server.address
+
+    override fun close() {
+        server.close()
+        engine.close()
+    }
+
+    companion object {
+        /**
+         * Starts an engine at [listen].
+         *
+         * @param exit ends the process with the given code
+         */
+        fun start(
+            listen: NetworkAddress,
+            options: EngineOptions,
+            exit: (Int) -> Unit = { Runtime.getRuntime().halt(it) },
+        ): EngineServer {
+            val engine = Engine(options, exit)
+            val server = StandInServer.start(listen) { config ->
+                config.jetty.modifyServletContextHandler { handler ->
+                    val servlet = ServletHolder(EngineServlet(options.name, engine))
+                    servlet.isAsyncSupported = true
+                    handler.addServlet(servlet, "/v1/chat/completions")
+                    handler.addServlet(servlet, "/v1/streams/*")
+                }
+                addRoutes(config, options, engine)
+            }
+            return EngineServer(engine, server)
+        }
+
+        private fun addRoutes(config: JavalinConfig, options: EngineOptions, engine: Engine) {
+            val routes = config.routes
+            routes.before { engine.awaitAnswering() }
+            routes.get("/health") { it.answer(engine.load()) }
+            routes.get("/load") { it.answer(engine.load()) }
+            routes.get("/stats") { it.answer(engine.stats()) }
+            routes.get("/cache-events") {
+                it.answer(engine.cacheEvents(it.queryParam("after")?.toLong() ?: 0))
+            }
+            routes.post("/v1/cancel/{requestId}") {
+                val requestId = it.pathParam("requestId")
+                when (val cancelled = engine.cancel(requestId)) {
+                    null -> it.fail(404, "unknown-request", "no such request: $requestId")
+                    else -> it.answer(CancelReply(requestId, cancelled))
+                }
+            }
+            routes.post("/orders") {
+                val order = it.read<EngineOrder>()
+                if (engine.accept(order)) {
+                    it.answer(order)
+                } else {
+                    val message = "fencing number is stale: ${order.fencingNumber}"
+                    it.fail(409, "stale-fencing-number", message)
+                }
+            }
+            routes.get("/orders") { it.answer(engine.orders()) }
+            routes.post("/kv/export") {
+                it.answer(engine.exportPrefix(it.read<ChatRequest>().messages))
+            }
+            routes.post("/kv/import") {
+                val transfer = it.read<CacheTransfer>()
+                engine.importPrefix(transfer)
+                it.answer(transfer)
+            }
+            routes.post("/cold") {
+                val seconds = it.queryParam("seconds")?.toDouble() ?: options.coldSeconds
+                engine.becomeCold(seconds)
+                it.answer(engine.load())
+            }
+        }
+    }
+}
