Add the demonstration: chats, returning chats and a booking with checked answers

Cause: a newcomer should see one command print what the fleet does. Ruled out: the load tool, whose output is figures.

--- /dev/null
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/demonstration/DemonstrationCommand.kt
@@ -0,0 +1,32 @@
+package org.hibiscusproxy.standins.demonstration
+
+import kotlin.system.exitProcess
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+
+/** `demonstration`: a few requests whose answers are printed, checked and summarised. */
+@OptIn(ExperimentalCli::class)
+class DemonstrationCommand :
+    Subcommand("demonstration", "Send a few chats and a booking and print where they landed") {
+    private val entries by option(
+        ArgType.String,
+        "entries",
+        description = "Base URLs separated by commas",
+    ).required()
+    private val model by option(ArgType.String, "model", description = "Model of the chats")
+        .default("hibiscus-7b")
+    private val bookingService by option(
+        ArgType.String,
+        "booking-service",
+        description = "Plain service that takes the booking",
+    ).default("booking")
+
+    override fun execute() {
+        val urls = entries.split(',').map { it.trim().trimEnd('/') }
+        val isRight = Demonstration(urls, model, bookingService).run()
+        exitProcess(if (isRight) 0 else 1)
+    }
+}
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/Deployment.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/Deployment.kt
@@ -137,10 +137,15 @@
         private const val MAXIMUM_ENTRIES = 10
         private const val MAXIMUM_CONTROLLERS = 9
 
-        /** Teams of unequal size: [large] ones with share 4 and [small] ones with share 1. */
-        fun teams(large: Int, small: Int): List<Team> =
-            List(large) { Team(TeamName("large-${it + 1}"), 4, Priority.INTERACTIVE) } +
-                List(small) { Team(TeamName("small-${it + 1}"), 1, Priority.NORMAL) }
+        /** Teams of unequal size as the load tool names them: [large] with share 4, others 1. */
+        fun teams(large: Int, small: Int): List<Team> = List(large + small) { index ->
+            val isLarge = index < large
+            Team(
+                name = TeamName("team-${index + 1}"),
+                share = if (isLarge) 4 else 1,
+                defaultPriority = if (isLarge) Priority.INTERACTIVE else Priority.NORMAL,
+            )
+        }
 
         /** Two data centres, three engines, one plain service: enough to see everything once. */
         fun demonstration(): Builder = Builder("demo").apply {
