Add the replicated log, its storage and a simulation test

The controller daemon needs a durable, replicated order of commands that loses nothing acknowledged when a voter loses its disk. Forming a cluster by a majority of a list of names was ruled out: a wiped voter and a voter that never received anything would both look new and could found a second cluster, so all bootstrap members must answer once, and the founding entry binds each name to an identity. A storage failure in flush throws StorageFailureException, because its signature has no result.

--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Applier.kt
@@ -0,0 +1,69 @@
+package org.hibiscusproxy.consensus
+
+import org.hibiscusproxy.protocol.Payload
+
+/** Runs committed entries through the state machine, and replaces old ones by snapshots. */
+internal class Applier(
+    private val state: ReplicaState,
+    private val stateMachine: StateMachine,
+    snapshot: Snapshot?,
+) {
+    private var bytesSinceSnapshot = 0L
+    private var snapshotIndex = snapshot?.index ?: 0
+
+    var appliedIndex: Long = snapshotIndex
+        private set
+
+    init {
+        snapshot?.let { stateMachine.restore(it.state) }
+    }
+
+    fun apply() {
+        while (appliedIndex < state.commitIndex) {
+            val entry = state.log[appliedIndex + 1]
+            val result = when (val content = entry.content) {
+                is EntryContent.Command -> stateMachine.apply(entry.index, content.payload)
+                is EntryContent.MembershipEntry, EntryContent.NoOperation -> Payload.EMPTY
+            }
+            appliedIndex = entry.index
+            bytesSinceSnapshot += entry.approximateBytes
+            state.outbox.add(ConsensusOutput.Applied(entry.index, entry.term, result))
+        }
+    }
+
+    /** Takes a snapshot if enough was applied since the last one, and discards old entries. */
+    fun compact() {
+        val settings = state.settings
+        val isDue = appliedIndex - snapshotIndex >= settings.snapshotEntries ||
+            bytesSinceSnapshot >= settings.snapshotBytes
+        if (!isDue || appliedIndex == snapshotIndex) return
+        val term = checkNotNull(state.log.termAt(appliedIndex))
+        val membership = state.log.membershipAt(appliedIndex)
+        save(Snapshot(appliedIndex, term, membership, stateMachine.snapshot()))
+        val discarded = appliedIndex - settings.trailingEntries
+        if (discarded <= state.log.baseIndex) return
+        state.log.discardThrough(discarded)
+        state.storage.discardThrough(discarded).orFail()
+    }
+
+    /** Replaces the state by [snapshot], and the log too unless it continues the snapshot. */
+    fun install(snapshot: Snapshot) {
+        if (snapshot.index <= state.commitIndex) return
+        if (state.log.termAt(snapshot.index) == snapshot.term) {
+            state.commitThrough(snapshot.index)
+            return
+        }
+        save(snapshot)
+        state.storage.resetTo(snapshot.index).orFail()
+        state.resetTo(snapshot)
+        stateMachine.restore(snapshot.state)
+        appliedIndex = snapshot.index
+        state.outbox.add(ConsensusOutput.SnapshotInstalled(snapshot.index))
+    }
+
+    private fun save(snapshot: Snapshot) {
+        state.storage.saveSnapshot(snapshot).orFail()
+        snapshotIndex = snapshot.index
+        bytesSinceSnapshot = 0
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ChecksummedFile.kt
@@ -0,0 +1,63 @@
+package org.hibiscusproxy.consensus
+
+import java.nio.ByteBuffer
+import java.nio.channels.FileChannel
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardCopyOption
+import java.nio.file.StandardOpenOption
+import java.util.zip.CRC32C
+import kotlin.io.path.name
+
+/**
+ * A small file that is replaced as a whole: written to a temporary file, synced and renamed. Holds
+ * a mark (4 bytes), the length of the content (4), its CRC32C (4) and the content.
+ */
+internal object ChecksummedFile {
+    const val TEMPORARY_SUFFIX = ".tmp"
+    private const val HEADER_BYTES = 12
+    private const val MARK = 0x48424331
+
+    fun write(file: Path, content: ByteArray) {
+        val buffer = ByteBuffer.allocate(HEADER_BYTES + content.size)
+        buffer.putInt(MARK).putInt(content.size).putInt(checksum(content)).put(content).flip()
+        val temporary = file.resolveSibling(file.name + TEMPORARY_SUFFIX)
+        FileChannel.open(
+            temporary,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE,
+        ).use { channel ->
+            channel.writeFully(buffer)
+            channel.force(true)
+        }
+        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE)
+        syncFolder(file.parent)
+    }
+
+    /** The content, or null if the file is not as it was written. */
+    fun read(file: Path): ByteArray? {
+        val buffer = ByteBuffer.wrap(Files.readAllBytes(file))
+        if (buffer.limit() < HEADER_BYTES || buffer.getInt() != MARK) return null
+        if (buffer.getInt() != buffer.limit() - HEADER_BYTES) return null
+        val expected = buffer.getInt()
+        val content = ByteArray(buffer.remaining())
+        buffer.get(content)
+        return content.takeIf { checksum(it) == expected }
+    }
+
+    private fun checksum(content: ByteArray): Int {
+        val checksum = CRC32C()
+        checksum.update(content)
+        return checksum.value.toInt()
+    }
+}
+
+/** Makes creation, renaming and deletion of files in [folder] durable. */
+internal fun syncFolder(folder: Path) {
+    FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
+}
+
+internal fun FileChannel.writeFully(buffer: ByteBuffer) {
+    while (buffer.hasRemaining()) write(buffer)
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
@@ -0,0 +1,276 @@
+package org.hibiscusproxy.consensus
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.io.IOException
+import java.nio.channels.FileChannel
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardOpenOption
+import kotlin.io.path.deleteExisting
+import kotlin.io.path.exists
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.name
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+
+/**
+ * Storage in one data folder, which it locks: `hard-state`, at most one `snapshot-INDEX` and the
+ * log files `log-INDEX`. An incomplete or bad last record of the log is cut off on recovery, as a
+ * crash in the middle of a write leaves it. All other damage is refused with the file's name: the
+ * folder has to be removed and the replica added again under a new identity.
+ *
+ * A crash that made the end of an unsynced batch durable but not its start is refused as well,
+ * since it cannot be told from damage.
+ */
+class FileLogStorage private constructor(
+    private val folder: Path,
+    private val lock: FolderLock,
+    private var hardState: HardState,
+    private val segmentBytes: Long,
+) : LogStorage {
+    private val segments = ArrayDeque<LogSegment>()
+    private var active: FileChannel? = null
+    private var lastIndex = 0L
+
+    /** The identity drawn when the folder was created. */
+    val identity: Long get() = hardState.identity
+
+    override fun recover(): Result<StoredState, StorageFailure> = storing("recovery of $folder") {
+        val snapshot = recoverSnapshot()
+        val base = snapshot?.index ?: 0
+        segments.addAll(findSegments())
+        val contents = segments.map { it.read(isLast = it === segments.last()) }
+        checkContinuity(base, contents)
+        val repair = repairTail(contents.lastOrNull())
+        val entries = contents.flatMap { it.entries }
+        lastIndex = entries.lastOrNull()?.index ?: base
+        if (!continues(snapshot, entries)) deleteSegments(base)
+        lastIndex = maxOf(lastIndex, base)
+        val following = if (segments.isEmpty()) emptyList() else entries.filter { it.index > base }
+        StoredState(hardState, snapshot, following, repair)
+    }
+
+    override fun saveHardState(state: HardState): Result<Unit, StorageFailure> =
+        storing("writing the hard state") {
+            writeHardState(folder, state)
+            hardState = state
+        }
+
+    override fun append(entries: List<LogEntry>): Result<Unit, StorageFailure> =
+        storing("appending to the log") {
+            if (entries.isEmpty()) return@storing
+            check(entries.first().index == lastIndex + 1) {
+                "entry ${entries.first().index} does not follow $lastIndex"
+            }
+            channelForAppend().writeFully(LogRecord.encode(entries))
+            lastIndex = entries.last().index
+        }
+
+    override fun truncateFrom(index: Long): Result<Unit, StorageFailure> =
+        storing("truncating the log") {
+            if (index > lastIndex) return@storing
+            closeActive()
+            while (segments.isNotEmpty() && segments.last().firstIndex >= index) {
+                segments.removeLast().file.deleteExisting()
+                syncFolder(folder)
+            }
+            segments.lastOrNull()?.let { cut(it.file, it.offsetOf(index)) }
+            lastIndex = index - 1
+        }
+
+    override fun sync(): Result<Unit, StorageFailure> = storing("syncing the log") {
+        active?.force(false)
+    }
+
+    override fun saveSnapshot(snapshot: Snapshot): Result<Unit, StorageFailure> =
+        storing("writing a snapshot") {
+            ChecksummedFile.write(snapshotFile(snapshot.index), snapshot.encode())
+            snapshotFiles().dropLast(1).forEach { it.deleteExisting() }
+        }
+
+    override fun readSnapshot(): Result<Snapshot?, StorageFailure> =
+        storing("reading a snapshot") { snapshotFiles().lastOrNull()?.let(::readSnapshotFile) }
+
+    override fun discardThrough(index: Long): Result<Unit, StorageFailure> =
+        storing("deleting log files") {
+            // Oldest first, so that what a crash leaves has no gap.
+            while (segments.size > 1 && segments[1].firstIndex <= index + 1) {
+                segments.removeFirst().file.deleteExisting()
+                syncFolder(folder)
+            }
+        }
+
+    override fun resetTo(index: Long): Result<Unit, StorageFailure> =
+        storing("deleting log files") { deleteSegments(index) }
+
+    override fun close() {
+        closeActive()
+        lock.close()
+    }
+
+    private fun recoverSnapshot(): Snapshot? {
+        folder.listDirectoryEntries("*${ChecksummedFile.TEMPORARY_SUFFIX}")
+            .forEach { it.deleteExisting() }
+        val files = snapshotFiles()
+        val snapshot = files.lastOrNull()?.let(::readSnapshotFile)
+        files.dropLast(1).forEach { it.deleteExisting() }
+        return snapshot
+    }
+
+    private fun readSnapshotFile(file: Path): Snapshot {
+        val snapshot = ChecksummedFile.read(file)?.let(Snapshot::decode)
+        if (snapshot == null || snapshotFile(snapshot.index) != file) {
+            fail(StorageFailure.DamagedSnapshot(file))
+        }
+        return snapshot
+    }
+
+    private fun findSegments(): List<LogSegment> =
+        folder.listDirectoryEntries().mapNotNull(LogSegment::of).sortedBy { it.firstIndex }
+
+    private fun checkContinuity(base: Long, contents: List<SegmentContent>) {
+        var expected: Long? = null
+        segments.forEachIndexed { position, segment ->
+            val isJoined = when (val next = expected) {
+                null -> segment.firstIndex <= base + 1
+                else -> segment.firstIndex == next
+            }
+            if (!isJoined) {
+                val missing = StorageFailure.MissingEntries(
+                    segment.file,
+                    expected ?: (base + 1),
+                    segment.firstIndex,
+                )
+                fail(missing)
+            }
+            expected = segment.firstIndex + contents[position].entries.size
+        }
+    }
+
+    private fun repairTail(last: SegmentContent?): TailRepair? {
+        if (last == null || last.validBytes == last.fileBytes) return null
+        val file = segments.last().file
+        cut(file, last.validBytes)
+        return TailRepair(file, last.validBytes, last.fileBytes - last.validBytes)
+    }
+
+    /** Whether [entries] contain what [snapshot] covers last, so that the rest continues it. */
+    private fun continues(snapshot: Snapshot?, entries: List<LogEntry>): Boolean {
+        if (snapshot == null) return true
+        val first = entries.firstOrNull() ?: return segments.isEmpty()
+        if (first.index == snapshot.index + 1) return true
+        val covered = entries.firstOrNull { it.index == snapshot.index }
+        return covered != null && covered.term == snapshot.term
+    }
+
+    /** Deletes newest first, so that what a crash leaves does not seem to continue a snapshot. */
+    private fun deleteSegments(index: Long) {
+        closeActive()
+        while (segments.isNotEmpty()) {
+            segments.removeLast().file.deleteExisting()
+            syncFolder(folder)
+        }
+        lastIndex = index
+    }
+
+    private fun channelForAppend(): FileChannel {
+        val current = active ?: segments.lastOrNull()?.let { openActive(it) }
+        if (current != null && current.size() < segmentBytes) return current
+        current?.force(false)
+        closeActive()
+        val next = LogSegment.at(folder, lastIndex + 1)
+        segments.addLast(next)
+        val channel = openActive(next)
+        channel.force(true)
+        syncFolder(folder)
+        return channel
+    }
+
+    private fun openActive(segment: LogSegment): FileChannel = FileChannel.open(
+        segment.file,
+        StandardOpenOption.CREATE,
+        StandardOpenOption.WRITE,
+        StandardOpenOption.APPEND,
+    ).also { active = it }
+
+    private fun closeActive() {
+        active?.close()
+        active = null
+    }
+
+    private fun cut(file: Path, size: Long) {
+        FileChannel.open(file, StandardOpenOption.WRITE).use { channel ->
+            channel.truncate(size)
+            channel.force(true)
+        }
+    }
+
+    private fun snapshotFile(index: Long): Path =
+        folder.resolve(SNAPSHOT_PREFIX + index.toString().padStart(INDEX_DIGITS, '0'))
+
+    private fun snapshotFiles(): List<Path> = folder.listDirectoryEntries("$SNAPSHOT_PREFIX*")
+        .filterNot { it.name.endsWith(ChecksummedFile.TEMPORARY_SUFFIX) }
+        .sortedBy { it.name }
+
+    companion object {
+        private const val HARD_STATE_FILE = "hard-state"
+        private const val SNAPSHOT_PREFIX = "snapshot-"
+        private const val INDEX_DIGITS = 20
+
+        /** A log file is followed by the next one when it has this many bytes. */
+        const val DEFAULT_SEGMENT_BYTES: Long = 4L * 1024 * 1024
+
+        /**
+         * Locks [folder] and reads its hard state. An empty or missing folder becomes that of a new
+         * replica with [newIdentity], which is drawn from a secure source and ignored otherwise.
+         */
+        fun open(
+            folder: Path,
+            newIdentity: Long,
+            segmentBytes: Long = DEFAULT_SEGMENT_BYTES,
+        ): Result<FileLogStorage, StorageFailure> = storing("opening $folder") {
+            require(newIdentity != NO_IDENTITY) { "newIdentity: $newIdentity" }
+            Files.createDirectories(folder)
+            val lock = FolderLock.acquire(folder) ?: fail(StorageFailure.FolderLocked(folder))
+            try {
+                FileLogStorage(folder, lock, openHardState(folder, newIdentity), segmentBytes)
+            } catch (thrown: Exception) {
+                lock.close()
+                throw thrown
+            }
+        }
+
+        private fun openHardState(folder: Path, newIdentity: Long): HardState {
+            val file = folder.resolve(HARD_STATE_FILE)
+            if (file.exists()) return readHardState(file)
+            val isUsed = folder.listDirectoryEntries()
+                .any { LogSegment.of(it) != null || it.name.startsWith(SNAPSHOT_PREFIX) }
+            if (isUsed) fail(StorageFailure.MissingHardState(file))
+            return HardState(newIdentity).also { writeHardState(folder, it) }
+        }
+
+        private fun readHardState(file: Path): HardState = try {
+            val content = ChecksummedFile.read(file)
+            content?.let { CONSENSUS_CBOR.decodeFromByteArray<HardState>(it) }
+        } catch (_: SerializationException) {
+            null
+        } ?: fail(StorageFailure.DamagedHardState(file))
+
+        private fun writeHardState(folder: Path, state: HardState) {
+            val content = CONSENSUS_CBOR.encodeToByteArray(state)
+            ChecksummedFile.write(folder.resolve(HARD_STATE_FILE), content)
+        }
+
+        private fun <V> storing(operation: String, block: () -> V): Result<V, StorageFailure> =
+            try {
+                Ok(block())
+            } catch (thrown: StorageFailureException) {
+                Err(thrown.failure)
+            } catch (thrown: IOException) {
+                Err(StorageFailure.InputOutput(operation, thrown.toString()))
+            }
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -0,0 +1,192 @@
+package org.hibiscusproxy.consensus
+
+import kotlin.time.ComparableTimeMark
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.Payload
+
+/**
+ * The work of a leader during its term: heartbeats in numbered rounds, one request in flight per
+ * member, commit by counting, and the time of the last contact with a majority.
+ */
+internal class Leadership(private val state: ReplicaState, private val since: ComparableTimeMark) {
+    private val peers = sortedMapOf<ProcessName, PeerProgress>(compareBy { it.value })
+    private val rounds = ArrayDeque<Round>()
+    private var latest = since
+
+    /** The entry that has to be applied before the state is known to be current. */
+    val noOperationIndex: Long = state.log.lastIndex + 1
+
+    /** Sending time of the newest round that a majority answered; this replica counts as now. */
+    val majorityContact: ComparableTimeMark?
+        get() = state.membership.voters
+            .map { if (it == state.name) latest else peers[it]?.contact }
+            .sortedWith(compareByDescending(nullsFirst()) { it })
+            .getOrNull(state.membership.majority - 1)
+
+    init {
+        append(EntryContent.NoOperation)
+        startRound(since)
+    }
+
+    fun append(content: EntryContent): Long {
+        val index = state.log.lastIndex + 1
+        state.log.append(LogEntry(state.term, index, content))
+        if (content is EntryContent.MembershipEntry) trackPeers()
+        return index
+    }
+
+    /** Starts a round: heartbeats are due if [now] is an interval after the last round. */
+    fun tick(now: ComparableTimeMark) {
+        latest = now
+        if (now - rounds.last().sentAt < state.settings.heartbeatInterval) return
+        startRound(now)
+        peers.forEach { (process, peer) ->
+            val tag = peerTag(state.cluster, peer.identity, state.term)
+            val commitIndex = minOf(state.commitIndex, peer.matchIndex)
+            val heartbeat = Heartbeat(state.term, commitIndex, rounds.last().number, tag)
+            state.send(process, heartbeat)
+        }
+    }
+
+    /** Whether no majority has answered for an election timeout. */
+    fun isCutOff(now: ComparableTimeMark): Boolean {
+        val contact = majorityContact?.let { maxOf(it, since) } ?: since
+        return now - contact > state.settings.electionTimeout
+    }
+
+    /** Whether [process] lacks few enough entries, and answered recently enough, to vote. */
+    fun isCaughtUp(process: ProcessName, now: ComparableTimeMark): Boolean {
+        val peer = peers[process] ?: return false
+        val contact = peer.contact ?: return false
+        val isRecent = now - contact <= state.settings.electionTimeout
+        val isNear = peer.matchIndex + state.settings.promotionLagEntries >= state.log.lastIndex
+        return isRecent && isNear && peer.matchIndex >= noOperationIndex
+    }
+
+    fun receive(sender: ProcessName, reply: HeartbeatReply) {
+        val peer = peers[sender] ?: return
+        if (reply.tag != peerTag(state.cluster, peer.identity, state.term)) return
+        peer.heard(timeOf(reply.round))
+    }
+
+    fun receive(sender: ProcessName, reply: AppendReply) {
+        val peer = peerOf(sender, reply.identity) ?: return
+        peer.heard(timeOf(reply.round))
+        val isAwaited = reply.previousIndex == peer.nextIndex - 1
+        if (isAwaited) peer.awaitingSince = null
+        if (reply.isAccepted) {
+            peer.matched(reply.index)
+        } else if (isAwaited) {
+            peer.nextIndex = minOf(reply.index + 1, peer.nextIndex - 1).coerceAtLeast(1)
+        }
+    }
+
+    fun receive(sender: ProcessName, reply: SnapshotReply) {
+        val peer = peerOf(sender, reply.identity) ?: return
+        peer.heard(timeOf(reply.round))
+        val transfer = peer.transfer ?: return
+        if (reply.index != transfer.index) return
+        peer.awaitingSince = null
+        transfer.received = reply.received.coerceIn(0, transfer.content.size)
+        if (transfer.received < transfer.content.size) return
+        peer.transfer = null
+        peer.matched(transfer.index)
+    }
+
+    /** Sends to each member what it lacks, unless an earlier request is not answered yet. */
+    fun replicate(now: ComparableTimeMark) {
+        peers.forEach { (process, peer) ->
+            val waiting = peer.awaitingSince
+            val timeout = state.settings.heartbeatInterval * RESEND_INTERVALS
+            if (waiting != null && now - waiting < timeout) return@forEach
+            if (peer.transfer == null && peer.nextIndex <= state.log.baseIndex) {
+                peer.transfer = loadSnapshot()
+            }
+            val message = nextChunk(peer) ?: nextEntries(peer) ?: return@forEach
+            peer.awaitingSince = now
+            state.send(process, message)
+        }
+    }
+
+    /**
+     * Commits what a majority of the voters holds durably. Only an entry of this term is counted,
+     * since an earlier one can still be replaced although a majority holds it.
+     */
+    fun advanceCommit() {
+        val matches = state.membership.voters
+            .map { if (it == state.name) state.log.durableIndex else peers[it]?.matchIndex ?: 0 }
+            .sortedDescending()
+        val index = matches.getOrNull(state.membership.majority - 1) ?: return
+        if (state.log.termAt(index) == state.term) state.commitThrough(index)
+    }
+
+    private fun peerOf(sender: ProcessName, identity: Long): PeerProgress? =
+        peers[sender]?.takeIf { it.identity == identity }
+
+    private fun trackPeers() {
+        val members = state.membership.members
+        peers.entries.removeIf { (process, peer) -> members[process]?.identity != peer.identity }
+        members.forEach { (process, member) ->
+            if (process != state.name) {
+                peers.getOrPut(process) { PeerProgress(member.identity, state.log.lastIndex) }
+            }
+        }
+    }
+
+    private fun startRound(now: ComparableTimeMark) {
+        trackPeers()
+        rounds.addLast(Round((rounds.lastOrNull()?.number ?: 0) + 1, now))
+        if (rounds.size > KEPT_ROUNDS) rounds.removeFirst()
+    }
+
+    private fun timeOf(round: Long): ComparableTimeMark? =
+        rounds.firstOrNull { it.number == round }?.sentAt
+
+    private fun loadSnapshot(): SnapshotTransfer {
+        val snapshot = checkNotNull(state.storage.readSnapshot().orFail()) {
+            "entries up to ${state.log.baseIndex} are discarded without a snapshot"
+        }
+        return SnapshotTransfer(snapshot.index, snapshot.encode())
+    }
+
+    private fun nextChunk(peer: PeerProgress): SnapshotChunk? {
+        val transfer = peer.transfer ?: return null
+        val size = state.settings.snapshotChunkBytes
+        val end = minOf(transfer.content.size, transfer.received + size)
+        return SnapshotChunk(
+            cluster = state.cluster,
+            receiver = peer.identity,
+            term = state.term,
+            round = rounds.last().number,
+            index = transfer.index,
+            totalBytes = transfer.content.size,
+            offset = transfer.received,
+            content = Payload(transfer.content.copyOfRange(transfer.received, end)),
+        )
+    }
+
+    private fun nextEntries(peer: PeerProgress): AppendRequest? {
+        if (peer.nextIndex > state.log.lastIndex) return null
+        val previousIndex = peer.nextIndex - 1
+        return AppendRequest(
+            cluster = state.cluster,
+            receiver = peer.identity,
+            term = state.term,
+            round = rounds.last().number,
+            previousIndex = previousIndex,
+            previousTerm = checkNotNull(state.log.termAt(previousIndex)),
+            commitIndex = state.commitIndex,
+            entries = state.log.batch(peer.nextIndex, state.settings.maximumBatchBytes),
+        )
+    }
+
+    private data class Round(val number: Long, val sentAt: ComparableTimeMark)
+
+    private companion object {
+        /** An unanswered request is sent again after this many heartbeat intervals. */
+        const val RESEND_INTERVALS = 2
+
+        /** Answers to older rounds are too late to matter: a cut-off leader has stepped down. */
+        const val KEPT_ROUNDS = 64
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipRefusal.kt
@@ -0,0 +1,34 @@
+package org.hibiscusproxy.consensus
+
+/** Why a leader does not propose a membership change at present. */
+enum class MembershipRefusal {
+    /** This replica is not the leader. */
+    NOT_LEADER,
+
+    /** The leader has not applied an entry of its own term yet. */
+    NOT_READY,
+
+    /** Another membership change is not committed yet. */
+    CHANGE_PENDING,
+
+    /** The name belongs to a member, possibly with another identity; remove that member first. */
+    NAME_IN_USE,
+
+    /** The identity belongs to a member with another name. */
+    IDENTITY_IN_USE,
+
+    /** Identity 0 stands for none. */
+    INVALID_IDENTITY,
+
+    /** No member has the name. */
+    UNKNOWN_MEMBER,
+
+    /** The member votes already. */
+    ALREADY_VOTER,
+
+    /** The member has not acknowledged recent entries or has been silent. */
+    NOT_CAUGHT_UP,
+
+    /** A cluster without voters could not commit anything. */
+    LAST_VOTER,
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MemoryLogStorage.kt
@@ -0,0 +1,73 @@
+package org.hibiscusproxy.consensus
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlin.random.Random
+
+/**
+ * Storage for tests that keeps its content in memory and loses at a [crash] what was not synced.
+ */
+class MemoryLogStorage(identity: Long) : LogStorage {
+    private var hardState = HardState(identity)
+    private var snapshot: Snapshot? = null
+    private val durable = ArrayDeque<LogEntry>()
+    private val unsynced = ArrayDeque<LogEntry>()
+
+    /** Number of syncs so far. */
+    var syncs: Int = 0
+        private set
+
+    /** Loses the entries that were not synced, except a random number of the oldest of them. */
+    fun crash(random: Random) {
+        repeat(random.nextInt(unsynced.size + 1)) { durable.add(unsynced.removeFirst()) }
+        unsynced.clear()
+    }
+
+    override fun recover(): Result<StoredState, StorageFailure> {
+        val base = snapshot?.index ?: 0
+        return Ok(StoredState(hardState, snapshot, durable.filter { it.index > base }))
+    }
+
+    override fun saveHardState(state: HardState): Result<Unit, StorageFailure> {
+        hardState = state
+        return Ok(Unit)
+    }
+
+    override fun append(entries: List<LogEntry>): Result<Unit, StorageFailure> {
+        unsynced.addAll(entries)
+        return Ok(Unit)
+    }
+
+    override fun truncateFrom(index: Long): Result<Unit, StorageFailure> {
+        unsynced.removeAll { it.index >= index }
+        durable.removeAll { it.index >= index }
+        return Ok(Unit)
+    }
+
+    override fun sync(): Result<Unit, StorageFailure> {
+        durable.addAll(unsynced)
+        unsynced.clear()
+        syncs++
+        return Ok(Unit)
+    }
+
+    override fun saveSnapshot(snapshot: Snapshot): Result<Unit, StorageFailure> {
+        this.snapshot = snapshot
+        return Ok(Unit)
+    }
+
+    override fun readSnapshot(): Result<Snapshot?, StorageFailure> = Ok(snapshot)
+
+    override fun discardThrough(index: Long): Result<Unit, StorageFailure> {
+        durable.removeAll { it.index <= index }
+        return Ok(Unit)
+    }
+
+    override fun resetTo(index: Long): Result<Unit, StorageFailure> {
+        durable.clear()
+        unsynced.clear()
+        return Ok(Unit)
+    }
+
+    override fun close() = Unit
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
@@ -0,0 +1,60 @@
+package org.hibiscusproxy.consensus
+
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import org.hibiscusproxy.model.ProcessName
+import org.junit.jupiter.api.Nested
+
+/**
+ * Guards against histories that break a guarantee of the log under random faults. A failure names
+ * its seed; `-Dconsensus.seed=N` runs that seed only.
+ */
+class ReplicatedLogSimulationTest {
+    private val seeds: Iterable<Long> =
+        System.getProperty("consensus.seed")?.toLong()?.let(::listOf) ?: (1L..50L)
+
+    @Nested
+    inner class RandomFaults {
+        @Test
+        fun `three replicas keep what they acknowledged`() = runSeeds(size = 3)
+
+        @Test
+        fun `five replicas keep what they acknowledged`() = runSeeds(size = 5)
+    }
+
+    private fun runSeeds(size: Int) {
+        var acknowledged = 0
+        seeds.forEach { seed ->
+            val simulation = Simulation(seed, size, plan(seed), settings(seed))
+            try {
+                simulation.start()
+                simulation.run(milliseconds = 25_000)
+                simulation.settle()
+            } catch (thrown: Exception) {
+                throw AssertionError("size $size, -Dconsensus.seed=$seed: $thrown", thrown)
+            }
+            acknowledged += simulation.checker.acknowledgedIdentifiers.size
+        }
+        assertTrue(acknowledged > 100 * seeds.count(), "only $acknowledged commands acknowledged")
+    }
+
+    private fun plan(seed: Long) = FaultPlan(
+        loss = if (seed % 2 == 0L) 0.1 else 0.01,
+        duplicates = 0.03,
+        longDelays = 0.03,
+        crash = if (seed % 3 == 0L) 0.005 else 0.001,
+        partition = if (seed % 4 < 2) 0.001 else 0.0003,
+        wipe = if (seed % 5 < 3) 0.002 else 0.0,
+        removal = if (seed % 5 > 1) 0.002 else 0.0,
+    )
+
+    private fun settings(seed: Long) = ReplicatedLogSettings(
+        name = ProcessName("-"),
+        bootstrap = emptyList(),
+        maximumBatchBytes = if (seed % 2 == 0L) 1 else 500,
+        snapshotChunkBytes = 200,
+        snapshotEntries = if (seed % 3 == 0L) 1_000_000 else 40,
+        trailingEntries = (seed % 4).toInt() * 5,
+        promotionLagEntries = 5,
+    )
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedNetwork.kt
@@ -0,0 +1,47 @@
+package org.hibiscusproxy.consensus
+
+import java.util.PriorityQueue
+import kotlin.random.Random
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.Payload
+
+/** Direction between two processes. */
+data class Link(val sender: ProcessName, val receiver: ProcessName)
+
+/** A message that arrives at [arrival], in milliseconds of virtual time. */
+data class Delivery(val link: Link, val message: Payload, val arrival: Long, val number: Long)
+
+/** Loses, delays, reorders and duplicates messages, and blocks links, as the fields say. */
+class SimulatedNetwork(private val random: Random) {
+    private val queue = PriorityQueue<Delivery>(compareBy({ it.arrival }, { it.number }))
+    private var number = 0L
+    val blocked = mutableSetOf<Link>()
+    var lossProbability = 0.0
+    var duplicateProbability = 0.0
+    var longDelayProbability = 0.0
+
+    /** Bytes sent so far per sender, and messages. */
+    val sentBytes = mutableMapOf<ProcessName, Long>()
+    val sentMessages = mutableMapOf<ProcessName, Long>()
+
+    fun send(link: Link, message: Payload, now: Long) {
+        sentBytes.merge(link.sender, message.bytes.size.toLong(), Long::plus)
+        sentMessages.merge(link.sender, 1, Long::plus)
+        if (random.nextDouble() < lossProbability) return
+        val copies = if (random.nextDouble() < duplicateProbability) 2 else 1
+        repeat(copies) { queue.add(Delivery(link, message, now + delay(), number++)) }
+    }
+
+    /** Messages that arrive by [now]; those on blocked links are lost. */
+    fun due(now: Long): List<Delivery> {
+        val due = mutableListOf<Delivery>()
+        while (queue.isNotEmpty() && queue.peek().arrival <= now) due.add(queue.remove())
+        return due.filter { it.link !in blocked }
+    }
+
+    private fun delay(): Long = if (random.nextDouble() < longDelayProbability) {
+        random.nextLong(20, 1500)
+    } else {
+        random.nextLong(1, 12)
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedReplica.kt
@@ -0,0 +1,81 @@
+package org.hibiscusproxy.consensus
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrThrow
+import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
+import org.hibiscusproxy.model.ProcessName
+
+/** Fails once after a number of writes, as a crash in the middle of a flush does. */
+class CrashingStorage(private val stored: MemoryLogStorage) : LogStorage by stored {
+    var writesUntilCrash = Int.MAX_VALUE
+
+    fun crash(random: Random) {
+        stored.crash(random)
+        writesUntilCrash = Int.MAX_VALUE
+    }
+
+    override fun saveHardState(state: HardState) = write { stored.saveHardState(state) }
+    override fun append(entries: List<LogEntry>) = write { stored.append(entries) }
+    override fun truncateFrom(index: Long) = write { stored.truncateFrom(index) }
+    override fun sync() = write { stored.sync() }
+    override fun saveSnapshot(snapshot: Snapshot) = write { stored.saveSnapshot(snapshot) }
+
+    private fun write(action: () -> Result<Unit, StorageFailure>): Result<Unit, StorageFailure> {
+        if (writesUntilCrash-- > 0) return action()
+        return Err(StorageFailure.InputOutput("simulated write", "crash"))
+    }
+}
+
+/** A proposal whose outcome is not known yet. */
+data class PendingCommand(val term: Long, val command: RegisterCommand, val floor: Long)
+
+/** One process with a disk; [log] is null while it is down. */
+class SimulatedReplica(
+    val settings: ReplicatedLogSettings,
+    private val checker: HistoryChecker,
+    private val random: Random,
+) {
+    val name: ProcessName get() = settings.name
+    val pending = mutableMapOf<Long, PendingCommand>()
+    var machine = KeyValueMachine(checker)
+        private set
+    var log: ReplicatedLog? = null
+        private set
+    var restartAt = 0L
+    var identity = 0L
+        private set
+    private lateinit var storage: CrashingStorage
+
+    init {
+        replaceDisk()
+    }
+
+    fun start(now: ComparableTimeMark) {
+        machine = KeyValueMachine(checker)
+        log = ReplicatedLog.open(settings, storage, machine, random, now)
+            .getOrThrow { StorageFailureException(it) }
+    }
+
+    fun crash() {
+        log = null
+        pending.clear()
+        storage.crash(random)
+    }
+
+    fun crashDuringFlush() {
+        storage.writesUntilCrash = random.nextInt(3)
+    }
+
+    /** Loses the disk; the process is down. */
+    fun wipe() {
+        if (log != null) crash()
+        replaceDisk()
+    }
+
+    private fun replaceDisk() {
+        identity = random.nextLong()
+        storage = CrashingStorage(MemoryLogStorage(identity))
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
@@ -0,0 +1,263 @@
+package org.hibiscusproxy.consensus
+
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+import org.hibiscusproxy.model.ProcessName
+
+/** How often something happens in a run; probabilities are per step of 5 ms. */
+data class FaultPlan(
+    val loss: Double = 0.0,
+    val duplicates: Double = 0.0,
+    val longDelays: Double = 0.0,
+    val crash: Double = 0.0,
+    val partition: Double = 0.0,
+    val wipe: Double = 0.0,
+    val removal: Double = 0.0,
+    val proposals: Double = 0.3,
+)
+
+/** Replicas, their network, clients and an operator in virtual time; the same for the same seed. */
+class Simulation(
+    seed: Long,
+    size: Int,
+    private val faults: FaultPlan = FaultPlan(),
+    settings: ReplicatedLogSettings = ReplicatedLogSettings(ProcessName("-"), emptyList()),
+) {
+    val random = Random(seed)
+    val checker = HistoryChecker()
+    val network = SimulatedNetwork(random)
+    private val names = (1..size).map { ProcessName("c$it") }
+    val replicas = names.associateWith {
+        SimulatedReplica(settings.copy(name = it, bootstrap = names), checker, random)
+    }
+    private val time = TestTimeSource()
+    private var healAt = 0L
+    private var nextIdentifier = 1
+    private var isDisturbed = true
+    var now = 0L
+        private set
+
+    val leader: SimulatedReplica?
+        get() = replicas.values
+            .filter { it.log?.role == ConsensusRole.LEADER }
+            .maxByOrNull { it.log?.term ?: 0 }
+
+    fun replica(number: Int): SimulatedReplica = replicas.getValue(ProcessName("c$number"))
+
+    fun start() = replicas.values.forEach { it.start(time.markNow()) }
+
+    fun restart(replica: SimulatedReplica) = replica.start(time.markNow())
+
+    fun run(milliseconds: Long) {
+        val end = now + milliseconds
+        while (now < end) step()
+    }
+
+    fun runUntil(limit: Long, description: String, condition: () -> Boolean) {
+        val end = now + limit
+        while (!condition()) {
+            check(now < end) { "not within $limit ms: $description; ${describe()}" }
+            step()
+        }
+    }
+
+    fun step() {
+        now += STEP_MILLISECONDS
+        time += STEP_MILLISECONDS.milliseconds
+        network.due(now).forEach { delivery ->
+            val log = replicas.getValue(delivery.link.receiver).log
+            log?.receive(delivery.link.sender, delivery.message, time.markNow())
+        }
+        replicas.values.forEach { it.log?.tick(time.markNow()) }
+        if (isDisturbed) injectFaults()
+        replicas.values.filter { it.log == null && now >= it.restartAt }.forEach(::restart)
+        val proposes = isDisturbed && random.nextDouble() < faults.proposals
+        if (proposes) propose(replicas.values.random(random))
+        replicas.values.forEach(::flush)
+        observe()
+    }
+
+    /** Ends all faults, restarts everything and waits until each replica has everything. */
+    fun settle() {
+        isDisturbed = false
+        network.blocked.clear()
+        network.lossProbability = 0.0
+        network.duplicateProbability = 0.0
+        network.longDelayProbability = 0.0
+        runUntil(SETTLE_MILLISECONDS, "all replicas are voters") {
+            operate()
+            val membership = leader?.log?.takeIf { it.isReady }?.membership ?: Membership.EMPTY
+            replicas.values.all { membership.isVoter(it.name, it.identity) }
+        }
+        val before = checker.newestAcknowledged
+        runUntil(SETTLE_MILLISECONDS, "a command is acknowledged after all faults") {
+            leader?.takeIf { it.pending.isEmpty() }?.let(::propose)
+            checker.newestAcknowledged > before
+        }
+        runUntil(SETTLE_MILLISECONDS, "all replicas have applied everything acknowledged") {
+            replicas.values.all { (it.log?.appliedIndex ?: 0) >= checker.newestAcknowledged }
+        }
+        checkOutcome()
+    }
+
+    fun propose(replica: SimulatedReplica): Long? {
+        val log = replica.log ?: return null
+        val command = RegisterCommand(nextIdentifier, random.nextInt(3), random.nextBoolean())
+        val result = log.propose(command.encode(), time.markNow())
+        if (result !is ProposalResult.Accepted) return null
+        nextIdentifier++
+        val floor = checker.newestAcknowledged
+        replica.pending[result.index] = PendingCommand(result.term, command, floor)
+        return result.index
+    }
+
+    fun change(change: MembershipChange): ProposalResult? =
+        leader?.log?.changeMembership(change, time.markNow())
+
+    fun refusalOf(change: MembershipChange): MembershipRefusal? =
+        checkNotNull(leader?.log).refusalOf(change, time.markNow())
+
+    /** Separates [group] from the other replicas in both directions. */
+    fun isolate(group: Set<ProcessName>) {
+        names.forEach { sender ->
+            names.filter { (it in group) != (sender in group) }
+                .forEach { network.blocked.add(Link(sender, it)) }
+        }
+    }
+
+    private fun flush(replica: SimulatedReplica) {
+        val log = replica.log ?: return
+        val outputs = try {
+            log.flush(time.markNow())
+        } catch (_: StorageFailureException) {
+            crash(replica)
+            return
+        }
+        outputs.forEach { output ->
+            when (output) {
+                is ConsensusOutput.Send ->
+                    network.send(Link(replica.name, output.receiver), output.message, now)
+
+                is ConsensusOutput.Applied -> conclude(replica, output)
+                is ConsensusOutput.LeadershipChanged, is ConsensusOutput.SnapshotInstalled -> Unit
+            }
+        }
+    }
+
+    private fun conclude(replica: SimulatedReplica, output: ConsensusOutput.Applied) {
+        val pending = replica.pending.remove(output.index) ?: return
+        if (pending.term != output.term) return
+        val result = output.result.bytes.decodeToString()
+        checker.acknowledge(pending.command, output.index, result, pending.floor)
+    }
+
+    private fun observe() {
+        val leading = replicas.values.mapNotNull { it.log }.filter { it.majorityContact != null }
+        val current = leading.filter { log ->
+            val contact = log.majorityContact
+            contact != null && time.markNow() - contact < ELECTION_TIMEOUT
+        }
+        check(current.size <= 1) { "two leaders with majority contact: ${describe()}" }
+        current.filter { it.isReady }.forEach { checker.readLocally(it.appliedIndex) }
+        replicas.values.mapNotNull { it.log }
+            .filter { it.role == ConsensusRole.LEADER }
+            .forEach { checker.leads(it.term, it.identity) }
+    }
+
+    private fun injectFaults() {
+        network.lossProbability = faults.loss
+        network.duplicateProbability = faults.duplicates
+        network.longDelayProbability = faults.longDelays
+        if (now >= healAt) network.blocked.clear()
+        if (random.nextDouble() < faults.partition) partition()
+        if (random.nextDouble() < faults.crash) crashOne()
+        if (random.nextDouble() < faults.wipe) wipeOne()
+        if (random.nextDouble() < faults.removal) removeOne()
+        if (faults.wipe + faults.removal > 0 && now % OPERATOR_MILLISECONDS == 0L) operate()
+    }
+
+    private fun partition() {
+        network.blocked.clear()
+        healAt = now + random.nextLong(200, 4_000)
+        val group = names.shuffled(random).take(random.nextInt(1, names.size)).toSet()
+        isolate(group)
+        if (random.nextInt(3) == 0) network.blocked.removeAll { it.sender in group }
+    }
+
+    private fun crashOne() {
+        val victim = if (random.nextBoolean()) leader else replicas.values.random(random)
+        if (victim?.log == null) return
+        if (random.nextBoolean()) {
+            victim.crashDuringFlush()
+        } else {
+            crash(victim)
+        }
+    }
+
+    private fun crash(replica: SimulatedReplica) {
+        replica.crash()
+        replica.restartAt = now + random.nextLong(50, 3_000)
+    }
+
+    /** Wipes a disk only if a majority of each membership in use keeps its disks. */
+    private fun wipeOne() {
+        val victim = replicas.values.random(random)
+        val memberships = replicas.values.mapNotNull { it.log?.membership }
+        val disks = replicas.values.filter { it != victim }.associate { it.name to it.identity }
+        val isTolerable = memberships.size == replicas.size && memberships.all { membership ->
+            val intact = membership.voters.count {
+                membership.members.getValue(it).identity == disks[it]
+            }
+            membership.voters.isEmpty() || intact >= membership.majority
+        }
+        val isFormed = memberships.count { it.voters.isNotEmpty() } > replicas.size / 2
+        if (!isTolerable || !isFormed) return
+        victim.wipe()
+        victim.restartAt = now + random.nextLong(50, 2_000)
+    }
+
+    private fun removeOne() {
+        val voters = leader?.log?.membership?.voters.orEmpty()
+        if (voters.size == replicas.size) change(MembershipChange.Remove(voters.random(random)))
+    }
+
+    /** Brings back replicas that are not voters, as an operator or controller does. */
+    fun operate() {
+        val log = leader?.log ?: return
+        val members = log.membership.members
+        replicas.values.forEach { replica ->
+            val member = members[replica.name]
+            when {
+                member == null ->
+                    change(MembershipChange.AddNonVoter(replica.name, replica.identity))
+
+                member.identity != replica.identity ->
+                    change(MembershipChange.Remove(replica.name))
+
+                !member.isVoter -> change(MembershipChange.Promote(replica.name))
+            }
+        }
+    }
+
+    private fun checkOutcome() {
+        checker.checkResults()
+        replicas.values.forEach { replica ->
+            val lost = checker.acknowledgedIdentifiers - replica.machine.appliedIdentifiers
+            check(lost.isEmpty()) { "${replica.name} lacks acknowledged commands $lost" }
+        }
+    }
+
+    private fun describe(): String = replicas.values.joinToString { replica ->
+        val log = replica.log
+        val state = log?.run { "$role term=$term applied=$appliedIndex ${membership.voters}" }
+        "${replica.name}: ${state ?: "down"}"
+    }
+
+    private companion object {
+        const val STEP_MILLISECONDS = 5L
+        const val OPERATOR_MILLISECONDS = 200L
+        const val SETTLE_MILLISECONDS = 60_000L
+        val ELECTION_TIMEOUT = 600.milliseconds
+    }
+}
