Make log records encodable and test messages and files

Writing an entry to a file threw IllegalAccessError, because a private companion object of a serializable class hides the generated one that holds the serializer; the in-memory tests could not see it, since only the file storage encodes the content of an entry by itself. The constants move to file level. Not the CBOR library: the same class encodes as part of LogEntry.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
@@ -47,7 +47,7 @@
         val repair = repairTail(contents.lastOrNull())
         val entries = contents.flatMap { it.entries }
         lastIndex = entries.lastOrNull()?.index ?: base
-        if (!continues(snapshot, entries)) deleteSegments(base)
+        if (snapshot?.isContinuedBy(entries) == false) deleteSegments(base)
         lastIndex = maxOf(lastIndex, base)
         val following = if (segments.isEmpty()) emptyList() else entries.filter { it.index > base }
         StoredState(hardState, snapshot, following, repair)
@@ -157,15 +157,6 @@
         return TailRepair(file, last.validBytes, last.fileBytes - last.validBytes)
     }
 
-    /** Whether [entries] contain what [snapshot] covers last, so that the rest continues it. */
-    private fun continues(snapshot: Snapshot?, entries: List<LogEntry>): Boolean {
-        if (snapshot == null) return true
-        val first = entries.firstOrNull() ?: return segments.isEmpty()
-        if (first.index == snapshot.index + 1) return true
-        val covered = entries.firstOrNull { it.index == snapshot.index }
-        return covered != null && covered.term == snapshot.term
-    }
-
     /** Deletes newest first, so that what a crash leaves does not seem to continue a snapshot. */
     private fun deleteSegments(index: Long) {
         closeActive()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/LogEntry.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/LogEntry.kt
@@ -14,10 +14,6 @@
     /** Approximate encoded size in bytes, used to bound batches. */
     val approximateBytes: Int
         get() = ENTRY_OVERHEAD_BYTES + content.approximateBytes
-
-    private companion object {
-        const val ENTRY_OVERHEAD_BYTES = 32
-    }
 }
 
 /** What an entry does when it is applied. */
@@ -47,8 +43,7 @@
         override val approximateBytes: Int
             get() = membership.members.size * MEMBER_BYTES
     }
-
-    private companion object {
-        const val MEMBER_BYTES = 48
-    }
 }
+
+private const val ENTRY_OVERHEAD_BYTES = 32
+private const val MEMBER_BYTES = 48
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MemoryLogStorage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MemoryLogStorage.kt
@@ -24,6 +24,7 @@
     }
 
     override fun recover(): Result<StoredState, StorageFailure> {
+        if (snapshot?.isContinuedBy(durable) == false) durable.clear()
         val base = snapshot?.index ?: 0
         return Ok(StoredState(hardState, snapshot, durable.filter { it.index > base }))
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Snapshot.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Snapshot.kt
@@ -20,6 +20,16 @@
     @SerialName("m") val membership: Membership,
     @SerialName("s") val state: Payload,
 ) {
+    /**
+     * Whether [entries], a stored log, go on where this ends. They do not if a crash came between
+     * the writing of this snapshot and the deletion of a log that conflicts with it.
+     */
+    internal fun isContinuedBy(entries: List<LogEntry>): Boolean {
+        val first = entries.firstOrNull() ?: return false
+        if (first.index == index + 1) return true
+        return entries.any { it.index == index && it.term == term }
+    }
+
     internal fun encode(): ByteArray = CONSENSUS_CBOR.encodeToByteArray(this)
 
     internal companion object {
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
@@ -0,0 +1,160 @@
+package org.hibiscusproxy.consensus
+
+import com.github.michaelbull.result.getOrThrow
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.Payload
+import org.junit.jupiter.api.Nested
+
+/** Guards against wrong answers of one replica to single messages that the test writes. */
+class ReplicatedLogMessageTest {
+    private val time = TestTimeSource()
+    private val names = listOf("a", "b", "c").map(::ProcessName)
+    private val membership = Membership(
+        names.withIndex().associate { (number, name) -> name to Member(number + 1L, true) },
+    )
+
+    /** Replica a has an entry of term 2 that is not committed. */
+    private fun open(): ReplicatedLog {
+        val storage = MemoryLogStorage(identity = 1)
+        storage.saveHardState(HardState(identity = 1, cluster = CLUSTER, term = 2))
+        storage.append(
+            listOf(
+                LogEntry(0, 1, EntryContent.MembershipEntry(membership)),
+                LogEntry(2, 2, EntryContent.Command(Payload.of("1 1 true"))),
+            ),
+        )
+        storage.sync()
+        val settings = ReplicatedLogSettings(names[0], names)
+        val machine = KeyValueMachine(HistoryChecker())
+        return ReplicatedLog.open(settings, storage, machine, Random(1), time.markNow())
+            .getOrThrow { StorageFailureException(it) }
+    }
+
+    private fun ReplicatedLog.receive(sender: Int, message: ConsensusMessage): List<Any> {
+        receive(names[sender], message.encode(), time.markNow())
+        return sent()
+    }
+
+    private fun ReplicatedLog.sent(): List<Any> = flush(time.markNow())
+        .filterIsInstance<ConsensusOutput.Send>()
+        .mapNotNull { ConsensusMessage.decode(it.message) }
+
+    private fun ReplicatedLog.startElection() {
+        time += 1_300.milliseconds
+        tick(time.markNow())
+        sent()
+    }
+
+    private fun preVote(identity: Long) = VoteReply(identity, 3, 1, true, isPreVote = true)
+    private fun vote(identity: Long) = VoteReply(identity, 3, 1, true, isPreVote = false)
+
+    @Nested
+    inner class Votes {
+        @Test
+        fun `count only from the identity that the membership names`() {
+            val log = open()
+            log.startElection()
+            log.receive(sender = 1, preVote(identity = 22))
+            assertEquals(2, log.term)
+            log.receive(sender = 1, preVote(identity = 2))
+            assertEquals(3, log.term)
+
+            log.receive(sender = 1, vote(identity = 22))
+            assertEquals(ConsensusRole.CANDIDATE, log.role)
+            log.receive(sender = 1, vote(identity = 2))
+            assertEquals(ConsensusRole.LEADER, log.role)
+        }
+
+        @Test
+        fun `are refused while a leader is heard, and by another identity not answered`() {
+            val log = open()
+            time += 700.milliseconds
+            log.receive(2, AppendRequest(CLUSTER, 1, 2, 1, 2, 2, 0, emptyList()))
+            val request = VoteRequest(CLUSTER, 1, 9, candidate = 2, 9, 9, isPreVote = false)
+            time += 599.milliseconds
+            assertEquals(
+                listOf<Any>(VoteReply(1, 2, 2, isGranted = false, isPreVote = false)),
+                log.receive(1, request),
+            )
+            time += 2.milliseconds
+            assertEquals(emptyList(), log.receive(1, request.copy(receiver = 11)))
+            assertEquals(
+                listOf<Any>(VoteReply(1, 9, 2, isGranted = true, isPreVote = false)),
+                log.receive(1, request),
+            )
+        }
+
+        @Test
+        fun `are refused for an election timeout after a start and to a shorter log`() {
+            val log = open()
+            val request = VoteRequest(CLUSTER, 1, 9, candidate = 2, 2, 2, isPreVote = true)
+            assertEquals(
+                listOf<Any>(VoteReply(1, 2, 2, isGranted = false, isPreVote = true)),
+                log.receive(1, request),
+            )
+            time += 601.milliseconds
+            val shorter = request.copy(lastIndex = 1)
+            assertEquals(
+                listOf<Any>(VoteReply(1, 2, 2, isGranted = false, isPreVote = true)),
+                log.receive(1, shorter),
+            )
+            assertEquals(
+                listOf<Any>(VoteReply(1, 9, 2, isGranted = true, isPreVote = true)),
+                log.receive(1, request),
+            )
+        }
+    }
+
+    @Nested
+    inner class Commits {
+        private fun lead(): ReplicatedLog = open().apply {
+            startElection()
+            receive(1, preVote(identity = 2))
+            receive(1, vote(identity = 2))
+        }
+
+        @Test
+        fun `entries of an earlier term only together with one of its own`() {
+            val log = lead()
+            log.receive(1, AppendReply(2, 3, 1, previousIndex = 2, isAccepted = true, index = 2))
+            assertEquals(0, log.commitIndex)
+
+            log.receive(1, AppendReply(2, 3, 1, previousIndex = 2, isAccepted = true, index = 3))
+            assertEquals(3, log.commitIndex)
+            assertTrue(log.isReady)
+        }
+
+        @Test
+        fun `nothing on acknowledgements of another identity`() {
+            val log = lead()
+            log.receive(1, AppendReply(22, 3, 1, previousIndex = 2, isAccepted = true, index = 3))
+
+            assertEquals(0, log.commitIndex)
+        }
+
+        @Test
+        fun `majority contact is the sending time of an answered heartbeat`() {
+            val log = lead()
+            time += 150.milliseconds
+            log.tick(time.markNow())
+            val sentAt = time.markNow()
+            time += 100.milliseconds
+            val tag = peerTag(CLUSTER, 2, 3)
+            log.receive(1, HeartbeatReply(3, 2, peerTag(CLUSTER, 22, 3)))
+            assertEquals(null, log.majorityContact)
+            log.receive(1, HeartbeatReply(3, 2, tag))
+
+            assertEquals(sentAt, log.majorityContact)
+        }
+    }
+
+    private companion object {
+        const val CLUSTER = 77L
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogTest.kt
@@ -0,0 +1,244 @@
+package org.hibiscusproxy.consensus
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import org.hibiscusproxy.model.ProcessName
+import org.junit.jupiter.api.Nested
+
+/** Guards against faults that need a particular order of events, one scenario each. */
+class ReplicatedLogTest {
+    private val settings = ReplicatedLogSettings(ProcessName("-"), emptyList())
+
+    private fun simulation(
+        size: Int = 3,
+        proposals: Double = 0.1,
+        settings: ReplicatedLogSettings = this.settings,
+    ) = Simulation(7, size, FaultPlan(proposals = proposals), settings).apply { start() }
+
+    private fun Simulation.runUntilReady() = runUntil(5_000, "a leader is ready") {
+        leader?.log?.isReady == true
+    }
+
+    private fun Simulation.followers() = replicas.values.filter { it != leader }
+
+    @Nested
+    inner class Forming {
+        @Test
+        fun `waits until every bootstrap member has told its identity`() {
+            val simulation = simulation()
+            simulation.replica(3).crash()
+            simulation.replica(3).restartAt = 10_000
+            simulation.run(9_000)
+            assertTrue(
+                simulation.replicas.values.all {
+                    it.log?.membership?.voters.isNullOrEmpty()
+                },
+            )
+
+            simulation.run(1_100)
+            simulation.runUntilReady()
+            assertEquals(3, assertNotNull(simulation.leader?.log).membership.voters.size)
+        }
+
+        @Test
+        fun `a wiped voter and one that never heard of the cluster do not found another`() {
+            val simulation = simulation()
+            val (founder, second, third) = (1..3).map(simulation::replica)
+            simulation.runUntil(5_000, "founded") { founder.log?.membership != Membership.EMPTY }
+            simulation.isolate(setOf(third.name))
+            simulation.runUntil(9_000, "acknowledged") {
+                simulation.checker.newestAcknowledged > 9
+            }
+            assertEquals(Membership.EMPTY, third.log?.membership)
+
+            loseSecondVoterAfterWipe(simulation, wiped = founder, lost = second)
+        }
+
+        private fun loseSecondVoterAfterWipe(
+            simulation: Simulation,
+            wiped: SimulatedReplica,
+            lost: SimulatedReplica,
+        ) {
+            val before = simulation.checker.newestAcknowledged
+            wiped.wipe()
+            simulation.restart(wiped)
+            lost.crash()
+            lost.restartAt = simulation.now + 20_000
+            simulation.network.blocked.clear()
+            simulation.run(19_000)
+            assertNull(simulation.leader, "a replica leads without the acknowledged commands")
+            assertEquals(before, simulation.checker.newestAcknowledged)
+
+            simulation.settle()
+        }
+
+        @Test
+        fun `nothing is missing after a wipe of one voter and the loss of a second one`() {
+            val simulation = simulation()
+            simulation.runUntilReady()
+            val (lagging, wiped) = simulation.followers()
+            val leader = assertNotNull(simulation.leader)
+            simulation.isolate(setOf(lagging.name))
+            simulation.run(2_000)
+
+            loseSecondVoterAfterWipe(simulation, wiped, lost = leader)
+        }
+
+        @Test
+        fun `wipes while the cluster forms lead to at most one leader with a majority`() {
+            (1L..60L).forEach { seed ->
+                val plan = FaultPlan(loss = 0.2, longDelays = 0.3)
+                val simulation = Simulation(seed, 3, plan).apply { start() }
+                simulation.run(milliseconds = seed * 10)
+                val victim = simulation.replica(1 + (seed % 3).toInt())
+                victim.wipe()
+                simulation.run(milliseconds = 15_000)
+                simulation.checker.checkResults()
+            }
+        }
+    }
+
+    @Nested
+    inner class Elections {
+        @Test
+        fun `a lost leader is replaced within three seconds`() {
+            (1L..20L).forEach { seed ->
+                val simulation = Simulation(seed, 5).apply { start() }
+                simulation.runUntilReady()
+                val lost = assertNotNull(simulation.leader)
+                lost.crash()
+                lost.restartAt = Long.MAX_VALUE
+                simulation.runUntil(3_000, "new leader") { simulation.leader?.log?.isReady == true }
+            }
+        }
+
+        @Test
+        fun `a replica that returns from a partition deposes nobody`() {
+            val simulation = simulation()
+            simulation.runUntilReady()
+            val leader = assertNotNull(simulation.leader)
+            val term = leader.log?.term
+            simulation.isolate(setOf(simulation.followers().first().name))
+            simulation.run(10_000)
+            simulation.network.blocked.clear()
+            simulation.run(5_000)
+
+            assertEquals(leader, simulation.leader)
+            assertEquals(term, simulation.leader?.log?.term)
+        }
+
+        @Test
+        fun `a leader without a majority steps down after an election timeout`() {
+            val simulation = simulation(size = 5)
+            simulation.runUntilReady()
+            val leader = assertNotNull(simulation.leader)
+            simulation.isolate(setOf(leader.name, simulation.followers().first().name))
+            simulation.run(700)
+
+            assertEquals(ConsensusRole.FOLLOWER, leader.log?.role)
+            assertNull(leader.log?.majorityContact)
+        }
+    }
+
+    @Nested
+    inner class MembershipChanges {
+        @Test
+        fun `a non-voter is promoted only after it has caught up`() {
+            val simulation = simulation()
+            simulation.runUntilReady()
+            val victim = simulation.followers().first()
+            victim.wipe()
+            simulation.run(3_000)
+            assertEquals(
+                MembershipRefusal.NAME_IN_USE,
+                simulation.refusalOf(MembershipChange.AddNonVoter(victim.name, victim.identity)),
+            )
+            simulation.change(MembershipChange.Remove(victim.name))
+            assertEquals(
+                MembershipRefusal.CHANGE_PENDING,
+                simulation.refusalOf(MembershipChange.Remove(victim.name)),
+            )
+            simulation.run(500)
+            val strangers = assertNotNull(simulation.leader?.log).strangers
+            assertEquals(mapOf(victim.name to victim.identity), strangers)
+
+            simulation.isolate(setOf(victim.name))
+            simulation.change(MembershipChange.AddNonVoter(victim.name, victim.identity))
+            simulation.run(500)
+            val promotion = MembershipChange.Promote(victim.name)
+            assertEquals(MembershipRefusal.NOT_CAUGHT_UP, simulation.refusalOf(promotion))
+            simulation.network.blocked.clear()
+            simulation.run(1_000)
+            assertEquals(ConsensusRole.NON_VOTER, victim.log?.role)
+            assertNull(simulation.refusalOf(promotion))
+            simulation.change(promotion)
+            simulation.run(500)
+            assertEquals(ConsensusRole.FOLLOWER, victim.log?.role)
+        }
+
+        @Test
+        fun `a leader that removes itself leaves office after the commit`() {
+            val simulation = simulation()
+            simulation.runUntilReady()
+            val removed = assertNotNull(simulation.leader)
+            simulation.change(MembershipChange.Remove(removed.name))
+            simulation.run(5_000)
+
+            assertEquals(ConsensusRole.NON_VOTER, removed.log?.role)
+            assertEquals(2, assertNotNull(simulation.leader?.log).membership.voters.size)
+        }
+    }
+
+    @Nested
+    inner class Snapshots {
+        @Test
+        fun `a replica behind the truncated log receives a snapshot in bounded chunks`() {
+            val small = settings.copy(
+                snapshotEntries = 50,
+                trailingEntries = 0,
+                snapshotChunkBytes = 100,
+                maximumBatchBytes = 100,
+            )
+            val simulation = simulation(proposals = 0.5, settings = small)
+            simulation.runUntilReady()
+            val behind = simulation.followers().first()
+            simulation.isolate(setOf(behind.name))
+            simulation.run(10_000)
+            val applied = assertNotNull(behind.log).appliedIndex
+            simulation.network.largestMessage = 0
+            simulation.settle()
+
+            assertTrue(assertNotNull(behind.log).appliedIndex > applied + 100)
+            val largest = simulation.network.largestMessage
+            assertTrue(largest in 100..160, "largest message: $largest bytes")
+        }
+    }
+
+    @Nested
+    inner class Traffic {
+        @Test
+        fun `five idle replicas send and receive less than three kilobytes a second each`() {
+            val simulation = simulation(size = 5, proposals = 0.0)
+            simulation.runUntilReady()
+            simulation.run(1_000)
+            val network = simulation.network
+            val before = network.traffic.toMap()
+            simulation.run(10_000)
+            val busiest = simulation.replicas.keys.maxOf { name ->
+                val traffic = network.traffic.getValue(name) - before.getValue(name)
+                traffic.totalBytes(FRAME_OVERHEAD_BYTES) / 10
+            }
+
+            println("idle traffic of the leader, both directions: $busiest bytes/s")
+            assertTrue(busiest < 2_700, "$busiest bytes/s")
+        }
+    }
+
+    private companion object {
+        /** Frame length (4), tag (16), and the envelope of a peer message in CBOR (about 13). */
+        const val FRAME_OVERHEAD_BYTES = 33
+    }
+}
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedNetwork.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedNetwork.kt
@@ -11,6 +11,16 @@
 /** A message that arrives at [arrival], in milliseconds of virtual time. */
 data class Delivery(val link: Link, val message: Payload, val arrival: Long, val number: Long)
 
+/** A number of messages and the bytes in them. */
+data class Traffic(val messages: Long, val bytes: Long) {
+    operator fun plus(other: Traffic) = Traffic(messages + other.messages, bytes + other.bytes)
+
+    operator fun minus(other: Traffic) = Traffic(messages - other.messages, bytes - other.bytes)
+
+    /** Bytes including [overhead] of each message's frame. */
+    fun totalBytes(overhead: Int): Long = bytes + messages * overhead
+}
+
 /** Loses, delays, reorders and duplicates messages, and blocks links, as the fields say. */
 class SimulatedNetwork(private val random: Random) {
     private val queue = PriorityQueue<Delivery>(compareBy({ it.arrival }, { it.number }))
@@ -20,13 +30,16 @@
     var duplicateProbability = 0.0
     var longDelayProbability = 0.0
 
-    /** Bytes sent so far per sender, and messages. */
-    val sentBytes = mutableMapOf<ProcessName, Long>()
-    val sentMessages = mutableMapOf<ProcessName, Long>()
+    /** Messages sent and received so far by each process. */
+    val traffic = mutableMapOf<ProcessName, Traffic>()
+    var largestMessage = 0
 
     fun send(link: Link, message: Payload, now: Long) {
-        sentBytes.merge(link.sender, message.bytes.size.toLong(), Long::plus)
-        sentMessages.merge(link.sender, 1, Long::plus)
+        val size = message.bytes.size
+        largestMessage = maxOf(largestMessage, size)
+        listOf(link.sender, link.receiver).forEach { process ->
+            traffic.merge(process, Traffic(1, size.toLong())) { a, b -> a + b }
+        }
         if (random.nextDouble() < lossProbability) return
         val copies = if (random.nextDouble() < duplicateProbability) 2 else 1
         repeat(copies) { queue.add(Delivery(link, message, now + delay(), number++)) }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedReplica.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedReplica.kt
@@ -22,6 +22,9 @@
     override fun sync() = write { stored.sync() }
     override fun saveSnapshot(snapshot: Snapshot) = write { stored.saveSnapshot(snapshot) }
 
+    override fun discardThrough(index: Long) = write { stored.discardThrough(index) }
+    override fun resetTo(index: Long) = write { stored.resetTo(index) }
+
     private fun write(action: () -> Result<Unit, StorageFailure>): Result<Unit, StorageFailure> {
         if (writesUntilCrash-- > 0) return action()
         return Err(StorageFailure.InputOutput("simulated write", "crash"))
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
@@ -169,7 +169,7 @@
         network.lossProbability = faults.loss
         network.duplicateProbability = faults.duplicates
         network.longDelayProbability = faults.longDelays
-        if (now >= healAt) network.blocked.clear()
+        if (faults.partition > 0 && now >= healAt) network.blocked.clear()
         if (random.nextDouble() < faults.partition) partition()
         if (random.nextDouble() < faults.crash) crashOne()
         if (random.nextDouble() < faults.wipe) wipeOne()
