Walk under the bound, follow pointers and ask former homes

A request used to wait beside the first target while others had room, and a displaced chat was not found again. RoutePlan asks up to three targets without waiting and queues only at the last one; the home's PlacementPointers redirect a returning chat; FormerHomes asks the target that held a chat before the last membership change, which answers from its CacheIndex.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
@@ -73,7 +73,10 @@
         return advance()
     }
 
-    override fun offer(dispatch: Dispatch): AdmissionDecision {
+    override fun offer(dispatch: Dispatch): AdmissionDecision = offer(dispatch, mayWait = true)
+
+    /** Decides about a new attempt, which is refused at once unless it runs now or [mayWait]. */
+    fun offer(dispatch: Dispatch, mayWait: Boolean): AdmissionDecision {
         if (dispatch.incarnation != incarnation) return refuse(NotRunReason.OLD_INCARNATION)
         if (!history.record(dispatch.attempt)) return refuse(NotRunReason.STALE_ATTEMPT)
         blockedBy()?.let { return refuse(it) }
@@ -84,12 +87,18 @@
             start(dispatch)
             return AdmissionDecision.Admitted
         }
-        if (queue.size >= maximumQueue) return refuse(NotRunReason.OVERLOADED)
+        if (!mayWait || queue.size >= maximumQueue) return refuse(NotRunReason.OVERLOADED)
         val wait = minOf(queueTime, dispatch.remainingMilliseconds.milliseconds)
         queue.add(dispatch, timeSource.markNow() + wait)
         return AdmissionDecision.Queued
     }
 
+    /**
+     * Refuses a new attempt for a reason of placement: the chat is cached elsewhere, or not here.
+     * Returns false for an attempt that was seen before, about which no new decision is made.
+     */
+    fun decline(attempt: Attempt): Boolean = history.record(attempt)
+
     override fun confirm(attempt: Attempt): NotRunReason? {
         val entry = running[attempt] ?: return NotRunReason.STALE_ATTEMPT
         val reason = blockedBy()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/retry/RetryPolicy.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/retry/RetryPolicy.kt
@@ -6,16 +6,21 @@
 import org.hibiscusproxy.protocol.NotRunReason
 
 /**
- * Decides about retries by what failed, attempts, deadline, budget and bytes relayed.
+ * Decides about retries by what failed, attempts, deadline, budget and bytes relayed. A refusal
+ * for want of room at one target while others are untried is part of the placement's walk and
+ * takes from [walks] instead, which allows one step for each request on average.
  *
+ * @property budget retries after failures
+ * @property walks steps of placement walks
  * @property random source of the jitter, seeded by the caller
  */
 class RetryPolicy(
     private val budget: RetryBudget,
     private val random: Random,
-    private val maximumAttempts: Int = 4,
+    private val maximumAttempts: Int = 5,
     private val firstPause: Duration = 20.milliseconds,
     private val longestPause: Duration = 1_000.milliseconds,
+    private val walks: RetryBudget = RetryBudget(share = 1.0, burst = 100.0),
 ) {
     /** Decides after [failure]; takes from the budget when the decision is to retry. */
     fun decide(failure: AttemptFailure, request: RetryRequest): RetryDecision {
@@ -23,12 +28,25 @@
         val pause = pause(failure, request)
         return when {
             pause >= request.remaining -> RetryDecision.GiveUp(GiveUpReason.DEADLINE)
-            !budget.tryTake() -> RetryDecision.GiveUp(GiveUpReason.BUDGET)
+            !takeFrom(failure, request) -> RetryDecision.GiveUp(GiveUpReason.BUDGET)
             pause > Duration.ZERO -> RetryDecision.RetryAfter(pause)
             else -> RetryDecision.RetryElsewhere
         }
     }
 
+    /** Counts a caller's request, which earns retries and steps. */
+    fun requestStarted() {
+        budget.requestStarted()
+        walks.requestStarted()
+    }
+
+    private fun takeFrom(failure: AttemptFailure, request: RetryRequest): Boolean {
+        val isStep = failure is AttemptFailure.NotRun &&
+            failure.reason == NotRunReason.OVERLOADED &&
+            request.untriedTargets > 0
+        return (if (isStep) walks else budget).tryTake()
+    }
+
     private fun refusal(failure: AttemptFailure, request: RetryRequest): GiveUpReason? = when {
         request.bytesRelayed > 0 -> GiveUpReason.ALREADY_RELAYED
 
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentRun.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentRun.kt
@@ -148,7 +148,11 @@
         val sidecar = sidecars[change.engine]
         val isIn = change.kind == ChangeKind.JOIN
         if (isIn) out -= sidecar.target.name else out += sidecar.target.name
-        if (isIn) sidecar.engine.restart(nowMillis)
+        if (isIn) {
+            sidecar.engine.restart(nowMillis)
+            sidecar.index.restarted()
+            for (other in sidecars) other.pointers.forget(sidecar.target.name)
+        }
         sidecar.configure()
         if (change.kind == ChangeKind.CRASH) sidecar.crash()
         for (entry in entries) at(nowMillis + random.nextDouble() * 2000) { entry.configure() }
@@ -157,7 +161,8 @@
     private fun state() = FleetState(1, objects, emptySet(), out.toSet())
 
     private class Call(val turn: Turn, val entry: Entry) {
-        val tried = ArrayList<TargetName>()
+        var plan = RoutePlan()
+        var home: TargetName? = null
         var attempts = 0
     }
 
@@ -165,34 +170,42 @@
         val loads = LoadTable(time)
         private val dataCenter = dataCenter(index)
         private var filter = TargetFilter(state(), dataCenter)
-        private val retry = RetryPolicy(RetryBudget().also { budget = it }, Random(index))
-        private lateinit var budget: RetryBudget
+        private val retry = RetryPolicy(RetryBudget(), Random(index))
+
+        private val formerHomes = FormerHomes(time)
 
         fun configure() {
+            formerHomes.replaced(filter)
             filter = TargetFilter(state(), dataCenter)
         }
 
         fun accept(turn: Turn) {
-            budget.requestStarted()
+            retry.requestStarted()
             attempt(Call(turn, this))
         }
 
         fun attempt(call: Call) {
             val team = load.teams[call.turn.team].name
-            val selection = filter.select(RoutedRequest(team, service.name, ModelName("m")), loads)
-            val ranked = policy.rank(call.turn.key, selection.candidates)
-            val name = ranked.firstOrNull { it !in call.tried } ?: ranked.firstOrNull()
-            if (name == null) {
+            val request = RoutedRequest(team, service.name, ModelName("m"))
+            val selection = filter.select(request, loads)
+            val key = call.turn.key
+            val ranked = policy.rank(key, selection.candidates)
+            call.home = policy.homeOf(key, selection.candidates)
+            if (call.attempts == 0) {
+                call.plan = RoutePlan(formerHomes.of(request, key, policy, selection.candidates))
+            }
+            val step = call.plan.next(ranked)
+            if (step == null) {
                 figures.refused++
                 return
             }
-            call.tried += name
+            val name = step.target
             call.attempts++
             if (call.turn.atMillis >= 240_000) figures.attempts++
             loads.dispatched(name)
             val sidecar = sidecars.first { it.target.name == name }
             val distance = selection.candidates.first { it.target.name == name }.distance
-            after(distance) { sidecar.receive(call, distance) }
+            after(distance) { sidecar.receive(call, distance, step) }
         }
 
         fun refused(
@@ -204,13 +217,14 @@
         ) {
             loads.finished(name)
             loads.reported(name, report)
+            call.plan.refused(name)
             fail(call, AttemptFailure.NotRun(reason, pause))
         }
 
         fun fail(call: Call, failure: AttemptFailure) {
             val elapsed = nowMillis - call.turn.atMillis
             val remaining = 60.seconds - elapsed.milliseconds
-            val untried = targets.size - out.size - call.tried.size
+            val untried = targets.size - out.size - call.plan.refusals.size
             val request = RetryRequest(call.attempts, remaining, true, 0, maxOf(0, untried))
             when (val decision = retry.decide(failure, request)) {
                 RetryDecision.RetryElsewhere -> attempt(call)
@@ -219,8 +233,15 @@
             }
         }
 
+        fun declined(call: Call, name: TargetName, elsewhere: TargetName?, report: LoadReport) {
+            ended(name, report)
+            if (elsewhere != null) call.plan.redirected(elsewhere)
+            attempt(call)
+        }
+
         fun lost(call: Call, name: TargetName) {
             loads.finished(name)
+            call.plan.refused(name)
             fail(call, AttemptFailure.MayHaveRun)
         }
 
@@ -235,6 +256,8 @@
         var reported = LoadReport()
         private var admission = newAdmission()
         private val calls = HashMap<Attempt, Pair<Call, Duration>>()
+        val pointers = PlacementPointers(target.name)
+        val index = CacheIndex()
         private val begun = LinkedHashSet<Attempt>()
         private var generation = 0
 
@@ -275,7 +298,7 @@
             admission.targetReported(TargetReport(engine.running, 0, !engine.isCold(nowMillis)))
         }
 
-        fun receive(call: Call, distance: Duration) {
+        fun receive(call: Call, distance: Duration, step: RouteStep) {
             val turn = call.turn
             val attempt =
                 Attempt(RequestIdentifier("${turn.chat}-${turn.ownBlocks}"), call.attempts)
@@ -285,7 +308,17 @@
                 Priority.INTERACTIVE, 60_000, true, Fingerprint(turn.chat.toLong()), "POST", "/",
                 emptyList(), Payload.EMPTY,
             )
-            when (val decision = admission.offer(dispatch)) {
+            val elsewhere = pointers.whereIs(turn.key).takeIf { step.followsPointer }
+            val isUnwanted =
+                step.onlyIfCached && index.knowledgeOf(turn.key) != CacheKnowledge.CACHED
+            if (elsewhere != null || isUnwanted) {
+                admission.decline(attempt)
+                calls.remove(attempt)
+                val report = admission.report()
+                after(distance) { call.entry.declined(call, target.name, elsewhere, report) }
+                return
+            }
+            when (val decision = admission.offer(dispatch, step.mayWait)) {
                 AdmissionDecision.Admitted -> begin(attempt)
                 AdmissionDecision.Queued -> Unit
                 is AdmissionDecision.Refused -> refuse(
@@ -319,6 +352,9 @@
             val (call, distance) = calls.getValue(attempt)
             val turn = call.turn
             begun += attempt
+            index.ran(turn.key)
+            val home = sidecars.first { it.target.name == call.home }
+            after(distance * 2) { home.pointers.placed(turn.key, target.name) }
             val timing = engine.start(turn, nowMillis)
             if (engine.isCold(nowMillis) &&
                 engine.running > target.coldCapacity
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/PlacementExperiment.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/PlacementExperiment.kt
@@ -26,8 +26,12 @@
         Change(15.5, 2, ChangeKind.JOIN),
     )
 
-    fun policy(name: String) =
-        PlacementPolicies.byName(name).getOrThrow { IllegalArgumentException(it.toString()) }
+    /** A policy by its name, or bounded affinity with another group size as `group-3`. */
+    fun policy(name: String): PlacementPolicy = name.substringAfter("group-", "").toIntOrNull()
+        ?.let { BoundedAffinityPlacement(groupSize = it) }
+        ?: PlacementPolicies.byName(name).getOrThrow {
+            IllegalArgumentException(it.toString())
+        }
 
     fun run(
         policy: PlacementPolicy,
