Ask a chat's home before trusting old loads

An entry's loads are up to seconds old, and it skipped homes that had room: plain rendezvous order, which never skips, reused more. The home is now always asked first, where the sidecar counts exactly; known loads only order the targets after it. A refusal costs one round trip of 2-3 ms, a missed prefix hundreds of milliseconds, so skipping on doubt was ruled out.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/placement/BoundedAffinityPlacement.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/placement/BoundedAffinityPlacement.kt
@@ -30,8 +30,9 @@
         if (ordered.isEmpty()) return emptyList()
         val mean = (ordered.sumOf { it.work } + 1.0) / ordered.size
         val bound = max(1, ceil(multiple * mean).toInt())
-        val (room, full) = ordered.partition { it.work < bound && it.work < it.bearable }
-        return (room + full.sortedBy { it.relativeLoad }).map { it.target.name }
+        val (room, full) = ordered.drop(1)
+            .partition { it.work < bound && it.work < it.bearable }
+        return (ordered.take(1) + room + full.sortedBy { it.relativeLoad }).map { it.target.name }
     }
 
     private fun byCost(
