--- /dev/null
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransportTest.kt
@@ -0,0 +1,273 @@
+package org.hibiscusproxy.daemon.transport
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.unwrap
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import java.io.DataInputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.nio.file.Files
+import kotlin.io.path.writeText
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.Attempt
+import org.hibiscusproxy.protocol.Hello
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.LeaseRenewNow
+import org.hibiscusproxy.protocol.Payload
+import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.RequestIdentifier
+import org.hibiscusproxy.protocol.ResponseChunk
+import org.junit.jupiter.api.Nested
+
+class KtorPeerTransportTest {
+    private val registry = SimpleMeterRegistry()
+    private val opened = mutableListOf<AutoCloseable>()
+    private val received = Channel<PeerMessage>(Channel.UNLIMITED)
+    private val loopback = NetworkAddress("127.0.0.1", 0)
+    private val quick = TransportSettings(handshakeTimeout = 500.milliseconds)
+
+    @AfterTest
+    fun closeAll() = opened.asReversed().forEach { it.close() }
+
+    private fun transport(
+        name: String,
+        key: String = "0123456789abcdef",
+        settings: TransportSettings = quick,
+        counted: SimpleMeterRegistry = SimpleMeterRegistry(),
+    ): KtorPeerTransport {
+        val hello = Hello(ProcessName(name), DataCenterName("north"), Incarnation(1))
+        val fleetKey = FleetKey.of(key.encodeToByteArray()).unwrap()
+        return KtorPeerTransport(hello, fleetKey, counted, settings).also(opened::add)
+    }
+
+    /** Listens with [registry] and passes on to [received]. */
+    private suspend fun server(settings: TransportSettings = quick): PeerListener {
+        val transport = transport("server", settings = settings, counted = registry)
+        val listener = transport.listen(loopback) { connection ->
+            for (message in connection.incoming) received.send(message)
+        }
+        return listener.also(opened::add)
+    }
+
+    private fun refused(reason: String): Double =
+        registry.get("hibiscus.transport.refused").tag("reason", reason).counter().count()
+
+    private suspend fun awaitEnd(connection: PeerConnection) = withTimeout(5.seconds) {
+        for (ignored in connection.incoming) Unit
+    }
+
+    private fun chunk(index: Int, size: Int = 3) = ResponseChunk(
+        Attempt(RequestIdentifier("r"), 1),
+        index,
+        Payload(ByteArray(size) { index.toByte() }),
+    )
+
+    @Nested
+    inner class Messages {
+        @Test
+        fun `arrive complete and in order with what the sides said of themselves`() = runBlocking {
+            val connection = transport("client").connect(server().address).unwrap()
+            assertEquals(ProcessName("server"), connection.remote.process)
+            val sent = List(200) { chunk(it, size = it * 500) }
+            sent.forEach { assertEquals(Ok(Unit), connection.send(it)) }
+            assertEquals(sent, withTimeout(5.seconds) { List(200) { received.receive() } })
+        }
+
+        @Test
+        fun `of the data path and of control are counted apart`() = runBlocking {
+            val counted = SimpleMeterRegistry()
+            val connection = transport("client", counted = counted)
+                .connect(server().address).unwrap()
+            connection.send(chunk(0, size = 10_000))
+            connection.send(LeaseRenewNow(7))
+            repeat(2) { received.receive() }
+            fun bytes(direction: String, kind: String, from: SimpleMeterRegistry) =
+                from.get("hibiscus.transport.bytes")
+                    .tags("direction", direction, "class", kind).counter().count()
+            assertEquals(bytes("sent", "data", counted), bytes("received", "data", registry))
+            assertTrue(bytes("sent", "data", counted) in 10_000.0..10_100.0)
+            assertTrue(bytes("received", "control", registry) in 21.0..60.0)
+        }
+
+        /** Guards against a sender that exhausts memory while the receiver does not read. */
+        @Test
+        fun `wait at the sender when the receiver does not read`() = runBlocking {
+            val transport = transport("server")
+            val listener = transport.listen(loopback) { delay(10.seconds) }.also(opened::add)
+            val connection = transport("client").connect(listener.address).unwrap()
+            var count = 0
+            val sender = launch(Dispatchers.Default) {
+                while (true) {
+                    connection.send(chunk(0, size = 100_000))
+                    count++
+                }
+            }
+            delay(500.milliseconds)
+            val before = count
+            delay(300.milliseconds)
+            assertEquals(before, count)
+            assertTrue(count < 400, "queued $count messages of 100 kB")
+            sender.cancel()
+        }
+
+        @Test
+        fun `over the frame limit are refused at the sender`() = runBlocking {
+            val connection = transport("client").connect(server().address).unwrap()
+            val failure = connection.send(chunk(0, size = 8 * 1024 * 1024))
+            assertIs<SendFailure.MessageTooLarge>(failure.component2())
+            connection.send(chunk(1))
+            assertEquals(chunk(1), received.receive())
+        }
+    }
+
+    @Nested
+    inner class Authentication {
+        @Test
+        fun `refuses a wrong key on both sides and counts it`() = runBlocking {
+            val address = server().address
+            val outcome = transport("client", key = "another key of the fleet").connect(address)
+            assertEquals(Err(ConnectFailure.NotAuthenticated(address)), outcome)
+            withTimeout(2.seconds) { while (refused("handshake") < 1.0) delay(5.milliseconds) }
+        }
+
+        @Test
+        fun `gives up on a side that says nothing`() = runBlocking {
+            val silent = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).also(opened::add)
+            val address = NetworkAddress("127.0.0.1", silent.localPort)
+            val outcome = transport("client").connect(address)
+            assertEquals(Err(ConnectFailure.HandshakeTimeout(address)), outcome)
+        }
+
+        /** Guards against a caller of another protocol that holds a connection open for ever. */
+        @Test
+        fun `ends accepted connections that do not shake hands`() = runBlocking {
+            val address = server().address
+            withContext(Dispatchers.IO) {
+                Socket(address.host, address.port).use { socket ->
+                    socket.soTimeout = 5_000
+                    assertEquals(-1, DataInputStream(socket.inputStream).read())
+                }
+            }
+            assertEquals(1.0, refused("handshake-timeout"))
+        }
+
+        @Test
+        fun `reports that nothing listens`() = runBlocking {
+            val unused = ServerSocket(0).use { it.localPort }
+            val outcome = transport("client").connect(NetworkAddress("127.0.0.1", unused))
+            assertIs<ConnectFailure.Unreachable>(outcome.component2())
+            Unit
+        }
+
+        @Test
+        fun `hides the key and needs a long one`() {
+            val file = Files.createTempFile("fleet", ".key").also { it.writeText("short\n") }
+            assertEquals(Err(FleetKeyFailure.TooShort(5, 16)), FleetKey.read(file))
+            file.writeText("0123456789abcdef\n")
+            val key = FleetKey.read(file).unwrap()
+            assertEquals("FleetKey(hidden)", key.toString())
+            assertEquals(
+                FleetKey.of("0123456789abcdef".toByteArray()).get()?.operatorToken,
+                key.operatorToken,
+            )
+            assertTrue(!key.isOperatorToken("") && key.isOperatorToken(key.operatorToken))
+        }
+    }
+
+    @Nested
+    inner class FaultyFrames {
+        /** Frame 0 is the hello, frame 1 the first message. */
+        private fun endOnlyTheirConnection(
+            reason: String,
+            change: (Int, ByteArray) -> List<ByteArray>,
+        ) = runBlocking {
+            val address = server().address
+            val other = transport("other").connect(address).unwrap()
+            val tamperer = FrameTamperer(address, change).also(opened::add)
+            val connection = transport("client").connect(tamperer.address).unwrap()
+            connection.send(chunk(1))
+            connection.send(chunk(2))
+            awaitEnd(connection)
+            assertEquals(1.0, refused(reason))
+            other.send(chunk(3))
+            var last: PeerMessage
+            do last = withTimeout(2.seconds) { received.receive() } while (last == chunk(1))
+            assertEquals(chunk(3), last)
+        }
+
+        @Test
+        fun `that are replayed end only their connection`() =
+            endOnlyTheirConnection("bad-tag") { number, frame ->
+                if (number == 1) listOf(frame, frame) else listOf(frame)
+            }
+
+        @Test
+        fun `that are missing end only their connection`() =
+            endOnlyTheirConnection("bad-tag") { number, frame ->
+                if (number == 1) emptyList() else listOf(frame)
+            }
+
+        @Test
+        fun `that are damaged end only their connection`() =
+            endOnlyTheirConnection("bad-tag") { number, frame ->
+                if (number == 2) frame[frame.size / 2] = (frame[frame.size / 2] + 1).toByte()
+                listOf(frame)
+            }
+
+        @Test
+        fun `that are oversized end only their connection`() =
+            endOnlyTheirConnection("oversized") { number, frame ->
+                if (number == 2) frame[0] = 0x7f
+                listOf(frame)
+            }
+    }
+
+    @Nested
+    inner class Silence {
+        private val impatient = TransportSettings(
+            heartbeatInterval = 50.milliseconds,
+            silenceLimit = 250.milliseconds,
+        )
+
+        @Test
+        fun `does not end an idle connection with heartbeats`() = runBlocking {
+            val client = transport("client", settings = impatient)
+            val connection = client.connect(server(impatient).address).unwrap()
+            delay(700.milliseconds)
+            connection.send(chunk(1))
+            assertEquals(chunk(1), withTimeout(1.seconds) { received.receive() })
+            assertEquals(0.0, refused("silence"))
+        }
+
+        /** Guards against streams that hang for ever on a silently cut network path. */
+        @Test
+        fun `ends a connection whose frames stop arriving`() = runBlocking {
+            val tamperer = FrameTamperer(server(impatient).address) { number, frame ->
+                if (number > 3) emptyList() else listOf(frame)
+            }.also(opened::add)
+            val client = transport("client", settings = impatient)
+            val connection = client.connect(tamperer.address).unwrap()
+            awaitEnd(connection)
+            assertEquals(1.0, refused("silence"))
+        }
+    }
+}
