Serve chats and bookings end to end through entry and sidecar

The sidecar decides with TargetAdmission, calls its target with OkHttp on a bounded pool of threads with small stacks, relays chunks as they come, keeps its lease, polls the target's load and reports crashes.

OkHttp's resends and redirects are off, since a resend could run a booking twice, and non-repeatable calls use no kept connections, since a connection that the target closes at that moment would leave the outcome unknown. The last check before the first byte is a network interceptor, because only there the connection is open and nothing has been written. A used attempt number gets no answer, as "not run" could be wrong for an attempt that runs.

--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerRequest.kt
@@ -0,0 +1,59 @@
+package org.hibiscusproxy.daemon.entry
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+import org.hibiscusproxy.model.Service
+import org.hibiscusproxy.placement.PrefixKey
+import org.hibiscusproxy.placement.RoutedRequest
+import org.hibiscusproxy.protocol.ClaimKey
+import org.hibiscusproxy.protocol.Fingerprint
+import org.hibiscusproxy.protocol.Header
+import org.hibiscusproxy.protocol.Payload
+import org.hibiscusproxy.protocol.RequestIdentifier
+
+/**
+ * A checked request of a caller.
+ *
+ * @property path path and query at the target
+ * @property headers end-to-end headers for the target
+ * @property claim what the call is claimed under; null for repeatable calls
+ * @property holdsAnswer whether the answer may be held back until it is complete, so that a target
+ *   lost in between can be replaced
+ */
+internal class CallerRequest(
+    val identifier: RequestIdentifier,
+    val routed: RoutedRequest,
+    val key: PrefixKey,
+    val fingerprint: Fingerprint,
+    val method: String,
+    val path: String,
+    val headers: List<Header>,
+    val body: Payload,
+    val claim: ClaimKey?,
+    val holdsAnswer: Boolean,
+    service: Service,
+) {
+    private val deadline =
+        TimeSource.Monotonic.markNow() + service.deadlineMilliseconds.milliseconds
+
+    /** Whether the request may run again after an unknown outcome. */
+    val repeatable: Boolean get() = claim == null
+
+    /** Time to the deadline; negative when it has passed. */
+    val remaining: Duration get() = -deadline.elapsedNow()
+}
+
+/** A request as it came over HTTP, not checked yet. */
+internal class RawRequest(
+    val identifier: RequestIdentifier,
+    val method: String,
+    val path: String,
+    val query: String?,
+    val headers: List<Header>,
+    val body: ByteArray,
+) {
+    /** First value of the header called [name]. */
+    fun header(name: String): String? =
+        headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/FleetView.kt
@@ -0,0 +1,64 @@
+package org.hibiscusproxy.daemon.entry
+
+import io.micrometer.core.instrument.Counter
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.CoroutineScope
+import org.hibiscusproxy.daemon.transport.PeerTransport
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.Target
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.placement.LoadTable
+import org.hibiscusproxy.placement.TargetFilter
+
+/** What an entry derives from the fleet's state at one version. */
+internal class FleetSnapshot(val state: FleetState, dataCenter: DataCenterName) {
+    val reader: RequestReader = RequestReader(state)
+    val filter: TargetFilter = TargetFilter(state, dataCenter)
+}
+
+/**
+ * The newest state that the entry knows, and its links to sidecars.
+ *
+ * The view's monitor is held while a newer state replaces an older one. Links are in a concurrent
+ * map under the target's name; a link whose target moved to another address is replaced.
+ */
+internal class FleetView(
+    private val dataCenter: DataCenterName,
+    private val transport: PeerTransport,
+    private val loads: LoadTable,
+    private val scope: CoroutineScope,
+    private val dropped: Counter,
+) : AutoCloseable {
+    private class Link(val target: Target, val sidecar: SidecarLink)
+
+    private val links = ConcurrentHashMap<TargetName, Link>()
+
+    /** Newest snapshot, or null before the first one. */
+    @Volatile
+    var current: FleetSnapshot? = null
+        private set
+
+    /** Version of the newest state. */
+    val version: Long get() = current?.state?.version ?: 0
+
+    /** Takes [state] if it is newer. Returns whether it is. */
+    @Synchronized
+    fun update(state: FleetState): Boolean {
+        if (current != null && state.version <= version) return false
+        current = FleetSnapshot(state, dataCenter)
+        val present = state.objects.targets.map { it.name }.toSet()
+        loads.retain(present)
+        return true
+    }
+
+    /** Link to the sidecar of [target]. */
+    fun linkTo(target: Target): SidecarLink = links.compute(target.name) { _, present ->
+        present?.takeIf { it.target.sidecar == target.sidecar }
+            ?: Link(target, SidecarLink(target, transport, loads, scope, dropped))
+    }!!.sidecar
+
+    override fun close() {
+        links.values.forEach { it.sidecar.close() }
+    }
+}
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -57,6 +57,8 @@
     val retryBudget: Double = 0.2,
     /** Placement policy by name, see the operators' page. */
     val placement: String = "bounded-affinity",
+    /** Time in a shutdown between becoming unready and refusing new requests. */
+    val unreadyMilliseconds: Long = 1_000,
 )
 
 /** Settings of the sidecar role. */
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
@@ -0,0 +1,318 @@
+package org.hibiscusproxy.daemon.sidecar
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hibiscusproxy.admission.AdmissionController
+import org.hibiscusproxy.admission.AttemptResult
+import org.hibiscusproxy.admission.TargetAdmission
+import org.hibiscusproxy.daemon.Role
+import org.hibiscusproxy.daemon.RoleContext
+import org.hibiscusproxy.daemon.settings.Settings
+import org.hibiscusproxy.daemon.settings.SidecarSettings
+import org.hibiscusproxy.daemon.transport.ControllerLink
+import org.hibiscusproxy.daemon.transport.KtorPeerTransport
+import org.hibiscusproxy.daemon.transport.PeerConnection
+import org.hibiscusproxy.daemon.transport.PeerListener
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.protocol.Attempt
+import org.hibiscusproxy.protocol.BrokenReason
+import org.hibiscusproxy.protocol.Cancel
+import org.hibiscusproxy.protocol.ConfigurationRequest
+import org.hibiscusproxy.protocol.ConfigurationUpdate
+import org.hibiscusproxy.protocol.ControlMessage
+import org.hibiscusproxy.protocol.CrashList
+import org.hibiscusproxy.protocol.CrashReport
+import org.hibiscusproxy.protocol.DataMessage
+import org.hibiscusproxy.protocol.Dispatch
+import org.hibiscusproxy.protocol.Fingerprint
+import org.hibiscusproxy.protocol.Hello
+import org.hibiscusproxy.protocol.LeaseRenewNow
+import org.hibiscusproxy.protocol.NotRun
+import org.hibiscusproxy.protocol.NotRunReason
+import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.ResponseBroken
+import org.hibiscusproxy.protocol.ResponseEnd
+import org.hibiscusproxy.timeline.FleetEvent
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/**
+ * The only path to one target. Takes attempts from entries, lets the admission controller decide,
+ * calls the target and relays its answer. Its state is soft: after a restart it holds no lease
+ * and refuses attempts that were meant for its earlier incarnation.
+ */
+class Sidecar private constructor(
+    private val settings: SidecarSettings,
+    fleet: Settings,
+    private val context: RoleContext,
+    admission: AdmissionController,
+) : Role {
+    private val target = settings.target
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val transport = KtorPeerTransport(
+        Hello(fleet.name, fleet.dataCenter, context.incarnation, target),
+        context.key,
+        context.registry,
+    )
+    private val isDraining = AtomicBoolean()
+    private val table = AttemptTable(admission, TableActions())
+    private val calls = TargetCalls(settings.targetUrl, table::confirm, ::firstByte)
+    private val loads = LoadPoller(calls)
+    private val link = ControllerLink(
+        "sidecar",
+        transport,
+        fleet.controllers,
+        connected = { it.send(ConfigurationRequest(stateVersion)) },
+        received = ::received,
+    )
+    private val lease =
+        LeaseKeeper(target, context.incarnation, link, table, context.events)
+    private val crashes = CrashCollector(scope, ::reportCrash)
+    private val duplicates = Counter.builder("hibiscus.sidecar.duplicates")
+        .description("Dispatches dropped because their attempt number was used before")
+        .register(context.registry)
+    private var listener: PeerListener? = null
+
+    @Volatile
+    private var stateVersion = 0L
+
+    override val isReady: Boolean get() = lease.isHeld && !isDraining.get()
+
+    /** Where entries reach the sidecar; known after [start]. */
+    val address: NetworkAddress
+        get() = checkNotNull(listener) { "sidecar of $target was not started" }.address
+
+    override suspend fun start() {
+        Gauge.builder("hibiscus.sidecar.running") { table.report().running }
+            .description("Requests admitted and not finished")
+            .register(context.registry)
+        Gauge.builder("hibiscus.sidecar.queued") { table.report().queued }
+            .description("Requests that wait")
+            .register(context.registry)
+        listener = transport.listen(settings.listen, ::serve)
+        link.start(scope)
+        lease.start(scope)
+        scope.launch { tick() }
+        scope.launch { pollLoad() }
+        LOG.info("sidecar: beside {} at {}", target, address)
+    }
+
+    override suspend fun drain(timeout: Duration): Int {
+        isDraining.set(true)
+        LOG.info("sidecar: draining, {} requests in progress", table.size)
+        context.events.record(FleetEvent.ProcessStopping(table.size))
+        table.update { shutDown() }
+        withTimeoutOrNull(timeout) { while (table.size > 0) delay(DRAIN_CHECK) }
+        val cutOff = table.runningAttempts
+        if (cutOff.isNotEmpty()) {
+            LOG.warn("sidecar: {} requests cut off after {}", cutOff.size, timeout)
+            cutOff.forEach { it.stop(BrokenReason.SHUTDOWN) }
+            withTimeoutOrNull(CUT_OFF_TIME) { while (table.size > 0) delay(DRAIN_CHECK) }
+        }
+        delay(LAST_SEND_TIME)
+        return cutOff.size
+    }
+
+    override fun close() {
+        listener?.close()
+        link.close()
+        scope.cancel()
+        calls.close()
+        transport.close()
+    }
+
+    private suspend fun serve(connection: PeerConnection) {
+        LOG.info("sidecar: entry {} connected", connection.remote.process)
+        try {
+            for (message in connection.incoming) take(message, connection)
+        } finally {
+            table.cancelAll(connection)
+            LOG.info("sidecar: entry {} disconnected", connection.remote.process)
+        }
+    }
+
+    private fun take(message: PeerMessage, connection: PeerConnection) {
+        when (message) {
+            is Dispatch -> table.offer(message, connection)
+            is Cancel -> table.cancel(message.attempt, connection)
+            else -> LOG.warn("sidecar: unexpected {}", message.javaClass.simpleName)
+        }
+    }
+
+    private suspend fun received(message: ControlMessage) {
+        when (message) {
+            is ConfigurationUpdate -> configure(message.state)
+
+            is LeaseRenewNow -> lease.renewEarly()
+
+            is CrashList -> table.update {
+                val duration = message.remainingMilliseconds.milliseconds
+                refuseFingerprints(message.fingerprints.toSet(), duration)
+                emptyList()
+            }
+
+            else -> Unit
+        }
+    }
+
+    private suspend fun configure(state: FleetState) {
+        if (state.version <= stateVersion) return
+        stateVersion = state.version
+        table.update {
+            configure(state)
+            advance()
+        }
+        lease.configured(state)
+    }
+
+    private suspend fun tick() {
+        while (scope.isActive) {
+            delay(TICK)
+            lease.checkExpiry()
+            table.update { advance() }
+        }
+    }
+
+    private suspend fun pollLoad() {
+        while (scope.isActive) {
+            loads.poll()?.let { report ->
+                table.update {
+                    targetReported(report)
+                    emptyList()
+                }
+            }
+            delay(LOAD_INTERVAL)
+        }
+    }
+
+    private suspend fun reportCrash(fingerprints: List<Fingerprint>) {
+        LOG.warn("sidecar: target {} lost with {} requests", target, fingerprints.size)
+        context.events.record(FleetEvent.TargetCrashed(target, fingerprints.size))
+        link.tell(CrashReport(target, fingerprints))
+    }
+
+    private fun firstByte(attempt: SidecarAttempt) = table.update {
+        firstByte(attempt.attempt)
+        emptyList()
+    }
+
+    private inner class TableActions : AttemptTable.Actions {
+        override fun run(attempt: SidecarAttempt) {
+            context.events.record(FleetEvent.AttemptStarted(attempt.attempt, target))
+            calls.start(attempt) { end -> ended(attempt, end) }
+        }
+
+        override fun refuse(attempt: SidecarAttempt, reason: NotRunReason, retryAfter: Duration) {
+            context.events.record(FleetEvent.AttemptNotRun(attempt.attempt, target, reason))
+            val milliseconds = retryAfter.inWholeMilliseconds
+            answer(attempt, NotRun(attempt.attempt, reason, table.report(), milliseconds))
+        }
+
+        override fun droppedDuplicate(attempt: Attempt) {
+            duplicates.increment()
+            LOG.warn("sidecar: dropped another dispatch of attempt {}", attempt)
+        }
+    }
+
+    private fun ended(attempt: SidecarAttempt, end: CallEnd) {
+        table.finish(attempt, end.result(attempt))
+        when (end) {
+            is CallEnd.Complete ->
+                answer(attempt, ResponseEnd(attempt.attempt, end.chunks, table.report()))
+
+            is CallEnd.NotRun -> {
+                context.events.record(
+                    FleetEvent.AttemptNotRun(attempt.attempt, target, end.reason),
+                )
+                answer(attempt, NotRun(attempt.attempt, end.reason, table.report()))
+            }
+
+            is CallEnd.Broken -> broken(attempt, end)
+
+            CallEnd.EntryLost -> stopAtTarget(attempt)
+        }
+    }
+
+    private fun CallEnd.result(attempt: SidecarAttempt): AttemptResult = when (this) {
+        is CallEnd.Complete -> AttemptResult.COMPLETED
+
+        is CallEnd.NotRun -> when (reason) {
+            NotRunReason.TARGET_UNREACHABLE -> AttemptResult.UNREACHABLE
+            else -> AttemptResult.CANCELLED
+        }
+
+        is CallEnd.Broken -> when (brokenReason(attempt)) {
+            BrokenReason.TARGET_LOST -> AttemptResult.TARGET_LOST
+            else -> AttemptResult.CANCELLED
+        }
+
+        CallEnd.EntryLost -> AttemptResult.CANCELLED
+    }
+
+    private fun broken(attempt: SidecarAttempt, end: CallEnd.Broken) {
+        val reason = brokenReason(attempt)
+        LOG.info("sidecar: attempt {} broken: {} {}", attempt.attempt, reason, end.cause.message)
+        context.events.record(FleetEvent.RequestBroken(attempt.attempt, reason))
+        if (reason == BrokenReason.TARGET_LOST) {
+            crashes.add(attempt.dispatch.fingerprint)
+        } else {
+            stopAtTarget(attempt)
+        }
+        answer(attempt, ResponseBroken(attempt.attempt, reason, table.report()))
+    }
+
+    private fun brokenReason(attempt: SidecarAttempt): BrokenReason = attempt.stopReason
+        ?: BrokenReason.DEADLINE.takeIf { attempt.remaining <= Duration.ZERO }
+        ?: BrokenReason.TARGET_LOST
+
+    /** Engines are told in words, because they notice a closed connection late. */
+    private fun stopAtTarget(attempt: SidecarAttempt) {
+        if (attempt.dispatch.path != CHAT_PATH) return
+        val request = attempt.dispatch.headers.find { it.name.equals(REQUEST_HEADER, true) }
+        val path = "/v1/cancel/${request?.value ?: return}"
+        calls.inBackground { calls.fetch("POST", path, CANCEL_TIME) }
+    }
+
+    private fun answer(attempt: SidecarAttempt, message: DataMessage) {
+        scope.launch { attempt.connection.send(message) }
+    }
+
+    companion object {
+        private const val CHAT_PATH = "/v1/chat/completions"
+        private const val REQUEST_HEADER = "X-Request-Id"
+        private val TICK = 100.milliseconds
+        private val LOAD_INTERVAL = 1.seconds
+        private val DRAIN_CHECK = 20.milliseconds
+        private val CUT_OFF_TIME = 1.seconds
+        private val LAST_SEND_TIME = 50.milliseconds
+        private val CANCEL_TIME = 1.seconds
+        private val LOG: Logger = LoggerFactory.getLogger(Sidecar::class.java)
+
+        /** Sidecar of a process with [settings], which must have a sidecar section. */
+        fun of(settings: Settings, context: RoleContext): Sidecar {
+            val section = requireNotNull(settings.sidecar) { "no sidecar section: $settings" }
+            val admission = TargetAdmission(
+                section.target,
+                context.incarnation,
+                section.maximumQueue,
+                section.queueMilliseconds.milliseconds,
+                TimeSource.Monotonic,
+            )
+            return Sidecar(section, settings, context, admission)
+        }
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
@@ -0,0 +1,213 @@
+package org.hibiscusproxy.daemon.sidecar
+
+import java.io.IOException
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.SynchronousQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlinx.coroutines.runBlocking
+import okhttp3.ConnectionPool
+import okhttp3.Headers
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.Interceptor
+import okhttp3.OkHttpClient
+import okhttp3.Protocol
+import okhttp3.Request
+import okhttp3.RequestBody
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import okhttp3.ResponseBody
+import org.hibiscusproxy.protocol.Header
+import org.hibiscusproxy.protocol.NotRunReason
+import org.hibiscusproxy.protocol.Payload
+import org.hibiscusproxy.protocol.ResponseChunk
+import org.hibiscusproxy.protocol.ResponseHead
+
+/** How a call to the target ended. */
+internal sealed class CallEnd {
+    /** The answer is complete after [chunks] chunks. */
+    data class Complete(val chunks: Int) : CallEnd()
+
+    /** No byte was sent to the target. */
+    data class NotRun(val reason: NotRunReason) : CallEnd()
+
+    /** The entry's connection is lost; nobody takes the answer. */
+    data object EntryLost : CallEnd()
+
+    /** The call was stopped, or the target was lost after it may have received the request. */
+    data class Broken(val cause: IOException) : CallEnd()
+}
+
+/**
+ * Calls one target over HTTP. Each call holds one thread with a small stack while it reads the
+ * answer; chunks go to the entry's connection as they arrive, and a connection that is full makes
+ * the thread wait, which slows the target down. Redirects and OkHttp's silent resends are off,
+ * because a resend could run a request twice.
+ *
+ * @param confirm last check before the first byte, which returns the reason not to run
+ * @param firstByte called when the first byte of the answer's body arrived
+ */
+internal class TargetCalls(
+    targetUrl: String,
+    private val confirm: (SidecarAttempt) -> NotRunReason?,
+    private val firstByte: (SidecarAttempt) -> Unit,
+) : AutoCloseable {
+    private val base = targetUrl.trimEnd('/').also { it.toHttpUrl() }
+    private val threadNumbers = AtomicInteger()
+    private val threads = ThreadPoolExecutor(
+        0,
+        MAXIMUM_CALLS,
+        IDLE_THREAD_SECONDS,
+        TimeUnit.SECONDS,
+        SynchronousQueue(),
+    ) { work ->
+        Thread(null, work, "target-call-${threadNumbers.incrementAndGet()}", STACK_BYTES)
+            .apply { isDaemon = true }
+    }
+
+    private val client = OkHttpClient.Builder()
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        .followSslRedirects(false)
+        .protocols(listOf(Protocol.HTTP_1_1))
+        .connectTimeout(CONNECT_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
+        .readTimeout(0, TimeUnit.MILLISECONDS)
+        .writeTimeout(0, TimeUnit.MILLISECONDS)
+        .connectionPool(ConnectionPool(KEPT_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+        .addNetworkInterceptor(::confirmAndProceed)
+        .build()
+
+    /**
+     * Non-repeatable calls use connections of their own: on a kept connection that the target
+     * closes at that moment the outcome would be unknown, although nothing ran.
+     */
+    private val clientWithoutReuse = client.newBuilder()
+        .connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS))
+        .build()
+
+    /** Runs the call for [attempt] and reports its end to [ended] on a thread of the pool. */
+    fun start(attempt: SidecarAttempt, ended: (CallEnd) -> Unit) {
+        try {
+            threads.execute { ended(call(attempt)) }
+        } catch (_: RejectedExecutionException) {
+            ended(CallEnd.NotRun(NotRunReason.OVERLOADED))
+        }
+    }
+
+    /** Runs [work] on a thread of the pool if one is free. */
+    fun inBackground(work: () -> Unit) {
+        try {
+            threads.execute(work)
+        } catch (_: RejectedExecutionException) {
+            return
+        }
+    }
+
+    /** Sends a short request of the sidecar's own. Returns the body, or null on any failure. */
+    fun fetch(method: String, path: String, limit: Duration): String? {
+        val body = if (method == "GET") null else RequestBody.EMPTY
+        val request = Request.Builder().url((base + path).toHttpUrl()).method(method, body).build()
+        val call = client.newCall(request)
+        call.timeout().timeout(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        return try {
+            call.execute().use { if (it.isSuccessful) it.body.string() else null }
+        } catch (_: IOException) {
+            null
+        }
+    }
+
+    override fun close() {
+        threads.shutdownNow()
+        client.connectionPool.evictAll()
+    }
+
+    private fun call(attempt: SidecarAttempt): CallEnd {
+        val request = try {
+            request(attempt)
+        } catch (_: IllegalArgumentException) {
+            return CallEnd.NotRun(NotRunReason.TARGET_UNREACHABLE)
+        }
+        val remaining = attempt.remaining.inWholeMilliseconds
+        if (remaining <= 0) return CallEnd.NotRun(NotRunReason.DEADLINE)
+        val http = if (attempt.dispatch.repeatable) client else clientWithoutReuse
+        val call = http.newCall(request)
+        call.timeout().timeout(remaining, TimeUnit.MILLISECONDS)
+        if (!attempt.attach(call)) return CallEnd.NotRun(NotRunReason.CANCELLED)
+        return try {
+            call.execute().use { relay(attempt, it) }
+        } catch (failure: IOException) {
+            if (attempt.mayHaveRun) CallEnd.Broken(failure) else notRun(attempt)
+        }
+    }
+
+    private fun notRun(attempt: SidecarAttempt): CallEnd = CallEnd.NotRun(
+        attempt.refusal ?: when {
+            attempt.stopReason != null -> NotRunReason.CANCELLED
+            attempt.remaining <= Duration.ZERO -> NotRunReason.DEADLINE
+            else -> NotRunReason.TARGET_UNREACHABLE
+        },
+    )
+
+    /** Runs between an open connection to the target and the first byte of the request. */
+    private fun confirmAndProceed(chain: Interceptor.Chain): Response {
+        val attempt = chain.request().tag(SidecarAttempt::class.java)
+        if (attempt != null) {
+            attempt.refusal = confirm(attempt)
+            attempt.refusal?.let { throw IOException("not confirmed: $it") }
+            attempt.mayHaveRun = true
+        }
+        return chain.proceed(chain.request())
+    }
+
+    private fun request(attempt: SidecarAttempt): Request {
+        val dispatch = attempt.dispatch
+        val headers = Headers.Builder()
+        dispatch.headers.forEach { headers.addUnsafeNonAscii(it.name, it.value) }
+        if (headers["Accept-Encoding"] == null) headers["Accept-Encoding"] = "identity"
+        val body = dispatch.body.bytes.toRequestBody()
+            .takeIf { dispatch.method != "GET" && dispatch.method != "HEAD" }
+        return Request.Builder()
+            .url((base + dispatch.path).toHttpUrl())
+            .headers(headers.build())
+            .method(dispatch.method, body)
+            .tag(SidecarAttempt::class.java, attempt)
+            .build()
+    }
+
+    private fun relay(attempt: SidecarAttempt, response: Response): CallEnd {
+        val head = ResponseHead(attempt.attempt, response.code, response.endToEndHeaders())
+        if (!runBlocking { attempt.connection.send(head) }.isOk) return CallEnd.EntryLost
+        return relayBody(attempt, response.body)
+    }
+
+    private fun relayBody(attempt: SidecarAttempt, body: ResponseBody): CallEnd {
+        val source = body.source()
+        var chunks = 0
+        while (source.request(1)) {
+            if (chunks == 0) firstByte(attempt)
+            val bytes = source.buffer.readByteArray()
+            val chunk = ResponseChunk(attempt.attempt, chunks++, Payload(bytes))
+            if (!runBlocking { attempt.connection.send(chunk) }.isOk) return CallEnd.EntryLost
+        }
+        return CallEnd.Complete(chunks)
+    }
+
+    private fun Response.endToEndHeaders(): List<Header> = headers
+        .filterNot { (name, _) -> name.lowercase() in HOP_BY_HOP }
+        .map { (name, value) -> Header(name, value) }
+
+    private companion object {
+        const val MAXIMUM_CALLS = 512
+        const val IDLE_THREAD_SECONDS = 10L
+        const val STACK_BYTES = 262_144L
+        const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
+        const val KEPT_CONNECTIONS = 64
+
+        /** Shorter than the keep-alive of usual servers, so that kept connections are not stale. */
+        const val KEEP_ALIVE_SECONDS = 4L
+        val HOP_BY_HOP =
+            setOf("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade")
+    }
+}
