--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -81,6 +81,8 @@
     val retryBudget: Double = 0.2,
     @Setting("Placement policy by name.")
     val placement: String = "bounded-affinity",
+    /** Time in a shutdown between becoming unready and refusing new requests. */
+    val unreadyMilliseconds: Long = 1_000,
 )
 
 /** Settings of the sidecar role. */
