Add object validation, the replicated control state and leases

Ruled out: relying on voters' election timers for the safety of a new leader. A voter that restarts forgets when it last heard the leader, so the new leader waits out the leader lease in addition to the lease itself; the argument is in LeaseGranter. Also ruled out: allocating a fencing number before the earlier incarnation's lease has run out, because a later leader could then not tell whether the wait took place.

Times in commands are those of a fleet clock that moves only with applied commands.

Measured: the seeded simulation (100 seeds of 60 s virtual time each) finds no violation.

--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlResult.kt
@@ -0,0 +1,75 @@
+package org.hibiscusproxy.control
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.hibiscusproxy.model.ObjectFault
+import org.hibiscusproxy.model.ObjectKind
+import org.hibiscusproxy.protocol.ClaimOutcome
+
+/** What applying a [ControlCommand] led to, for its proposer. */
+@Serializable
+sealed class ControlResult {
+    /** Result of a [ChangeCommand]. */
+    @Serializable
+    @SerialName("c")
+    data class Change(val outcome: ChangeOutcome) : ControlResult()
+
+    /** The target's fencing number. */
+    @Serializable
+    @SerialName("f")
+    data class FencingNumber(val number: Long) : ControlResult()
+
+    /** A later incarnation of the sidecar already has a fencing number. */
+    @Serializable
+    @SerialName("i")
+    data object OldIncarnation : ControlResult()
+
+    /** The published objects have no such target. */
+    @Serializable
+    @SerialName("t")
+    data object UnknownTarget : ControlResult()
+
+    /** Result of a [ClaimAttempt]. */
+    @Serializable
+    @SerialName("k")
+    data class Claim(val outcome: ClaimOutcome) : ControlResult()
+
+    /** Whether a [ReleaseClaim] or [CompleteClaim] took effect, now or when first sent. */
+    @Serializable
+    @SerialName("a")
+    data class ClaimAcknowledged(val accepted: Boolean) : ControlResult()
+
+    /** Applied; there is nothing to tell. */
+    @Serializable
+    @SerialName("d")
+    data object Done : ControlResult()
+}
+
+/** Result of an operator's change, which a resend of the same change gets again. */
+@Serializable
+sealed class ChangeOutcome {
+    /** The change is part of the fleet's state from [version] on. */
+    @Serializable
+    @SerialName("accepted")
+    data class Accepted(val version: Long) : ChangeOutcome()
+
+    /** Another change was made since the version that this one is based on. */
+    @Serializable
+    @SerialName("conflict")
+    data class Conflict(val basedOn: Long, val changedAt: Long) : ChangeOutcome()
+
+    /** The change identifier was used for other content. */
+    @Serializable
+    @SerialName("identifier-reused")
+    data class IdentifierReused(val change: ChangeIdentifier) : ChangeOutcome()
+
+    /** The objects are not consistent. */
+    @Serializable
+    @SerialName("invalid")
+    data class Invalid(val faults: List<ObjectFault>) : ChangeOutcome()
+
+    /** There is no such object. */
+    @Serializable
+    @SerialName("unknown-object")
+    data class UnknownObject(val kind: ObjectKind, val name: String) : ChangeOutcome()
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlSnapshot.kt
@@ -0,0 +1,105 @@
+package org.hibiscusproxy.control
+
+import kotlinx.serialization.Serializable
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.Attempt
+import org.hibiscusproxy.protocol.ClaimKey
+import org.hibiscusproxy.protocol.Fingerprint
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.Payload
+import org.hibiscusproxy.protocol.StoredAnswer
+
+/** The whole [ControlState] in the form in which it is written. */
+@Serializable
+internal data class ControlSnapshot(
+    val clock: FleetInstant,
+    val fleet: FleetSnapshot,
+    val changes: List<RecordedChange>,
+    val lastFencingNumber: Long,
+    val fencing: List<FencingRecord>,
+    val claims: List<ClaimRecord>,
+    val crashes: List<CrashRecord>,
+)
+
+/** Fleet state with what is needed to decide about changes of it. */
+@Serializable
+internal data class FleetSnapshot(
+    val state: FleetState,
+    val objectsVersion: Long,
+    val hasRemovedTargets: Boolean,
+    val dataCenterVersions: List<DataCenterVersion>,
+    val targetVersions: List<TargetVersion>,
+    val takenOutByOperators: Set<TargetName>,
+    val takenOutByPlatform: Set<TargetName>,
+)
+
+/** Version at which a data centre's state last changed. */
+@Serializable
+internal data class DataCenterVersion(val name: DataCenterName, val version: Long)
+
+/** Version at which a target's state last changed. */
+@Serializable
+internal data class TargetVersion(val name: TargetName, val version: Long)
+
+/** An operator's change and its first answer. */
+@Serializable
+internal data class RecordedChange(
+    val change: ChangeIdentifier,
+    val digest: Payload,
+    val outcome: ChangeOutcome,
+    val at: FleetInstant,
+)
+
+/** Fencing number of a target's present sidecar. */
+@Serializable
+internal data class FencingRecord(
+    val target: TargetName,
+    val incarnation: Incarnation,
+    val number: Long,
+)
+
+/**
+ * One claim.
+ *
+ * @property used highest attempt number used per request, so that none runs twice
+ * @property touched time of the last change, from which the retention time counts
+ */
+@Serializable
+internal data class ClaimRecord(
+    val key: ClaimKey,
+    val content: Fingerprint,
+    val phase: ClaimPhase,
+    val used: List<Attempt>,
+    val touched: FleetInstant,
+)
+
+/** Where a claim stands. */
+@Serializable
+internal sealed class ClaimPhase {
+    /** An attempt holds the claim. */
+    @Serializable
+    data class Claimed(val attempt: Attempt, val claimant: Claimant, val deadline: FleetInstant) :
+        ClaimPhase()
+
+    /** No attempt has run; the next one may be claimed. */
+    @Serializable
+    data object Released : ClaimPhase()
+
+    /** An attempt ran and its answer is kept. */
+    @Serializable
+    data class Completed(val attempt: Attempt, val answer: StoredAnswer) : ClaimPhase()
+
+    /** An attempt ran and its answer was too large to keep. */
+    @Serializable
+    data class NotStored(val attempt: Attempt, val status: Int, val bytes: Int) : ClaimPhase()
+}
+
+/** Targets that crashed with a request in progress. */
+@Serializable
+internal data class CrashRecord(
+    val fingerprint: Fingerprint,
+    val targets: Set<TargetName>,
+    val last: FleetInstant,
+)
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/PoolLoads.kt
@@ -0,0 +1,55 @@
+package org.hibiscusproxy.control
+
+import kotlin.time.ComparableTimeMark
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.OperationalState
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.Target
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.LoadReport
+import org.hibiscusproxy.protocol.PoolLoad
+
+/**
+ * Newest load reports. A silent target counts with its last number until its lease has run out,
+ * because its requests still run; then it leaves the mean. A new leader starts without reports and
+ * counts a target from its first renewal.
+ */
+internal class PoolLoads(private val settings: LeaseSettings) {
+    private val reports = HashMap<TargetName, ReportedLoad>()
+
+    fun report(
+        target: Target,
+        load: LoadReport,
+        now: ComparableTimeMark,
+        leaseEnd: ComparableTimeMark,
+    ) {
+        reports[target.name] = ReportedLoad(load.running, maxOf(leaseEnd, now + settings.reportAge))
+    }
+
+    /** Load over the targets of [service] that take new work. */
+    fun pool(service: ServiceName, index: TargetIndex, now: ComparableTimeMark): PoolLoad {
+        var running = 0
+        var targets = 0
+        for (name in index.targetsIn[service].orEmpty()) {
+            val report = reports[name] ?: continue
+            if (report.countsUntil <= now) continue
+            running += report.running
+            targets += 1
+        }
+        return PoolLoad(running, targets)
+    }
+
+    fun prune(now: ComparableTimeMark) {
+        reports.values.removeIf { it.countsUntil <= now }
+    }
+
+    private class ReportedLoad(val running: Int, val countsUntil: ComparableTimeMark)
+}
+
+/** Targets of one fleet state by name, and those that take new work by service. */
+internal class TargetIndex(val fleet: FleetState) {
+    val targets: Map<TargetName, Target> = fleet.objects.targets.associateBy { it.name }
+    val targetsIn: Map<ServiceName, List<TargetName>> = fleet.objects.targets
+        .filter { fleet.stateOf(it) == OperationalState.IN }
+        .groupBy({ it.service }, { it.name })
+}
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ClaimOutcome.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ClaimOutcome.kt
@@ -40,6 +40,17 @@
     @SerialName("m")
     data object ContentMismatch : ClaimOutcome()
 
+    /** The request ran; its answer of [bytes] bytes was over the limit and is not kept. */
+    @Serializable
+    @SerialName("l")
+    data class AnswerNotStored(@SerialName("s") val status: Int, @SerialName("b") val bytes: Int) :
+        ClaimOutcome()
+
+    /** The attempt number was used before, or the key has used up its attempts; nothing runs. */
+    @Serializable
+    @SerialName("x")
+    data class AttemptRefused(@SerialName("a") val attempt: Attempt) : ClaimOutcome()
+
     /** This controller cannot decide; nothing was claimed unless the request is resent. */
     @Serializable
     @SerialName("r")
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/PeerMessage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/PeerMessage.kt
@@ -156,6 +156,10 @@
     /** Another incarnation of the sidecar holds the lease. */
     @SerialName("other-incarnation")
     OTHER_INCARNATION,
+
+    /** The control state holds as much of this kind as it may. */
+    @SerialName("full")
+    FULL,
 }
 
 /** No lease; [leader] is the leader's name if this controller knows it. */
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/LeaseGranterTest.kt
@@ -0,0 +1,213 @@
+package org.hibiscusproxy.control
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+import org.hibiscusproxy.control.ControlFixture.change
+import org.hibiscusproxy.control.ControlFixture.dataCenter
+import org.hibiscusproxy.control.ControlFixture.lj
+import org.hibiscusproxy.control.ControlFixture.mb
+import org.hibiscusproxy.control.ControlFixture.objects
+import org.hibiscusproxy.control.ControlFixture.publish
+import org.hibiscusproxy.control.ControlFixture.run
+import org.hibiscusproxy.control.ControlFixture.target
+import org.hibiscusproxy.model.OperationalState.OUT
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.ControlRefusal
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.LeaseGrant
+import org.hibiscusproxy.protocol.LeaseRequest
+import org.hibiscusproxy.protocol.LoadReport
+import org.hibiscusproxy.protocol.PoolLoad
+import org.junit.jupiter.api.Nested
+
+/** Guards against leases that run longer than the leader answers for. */
+class LeaseGranterTest {
+    private val time = TestTimeSource()
+    private val settings = LeaseSettings()
+    private val state = ControlState()
+    private var granter = LeaseGranter(settings, time.markNow())
+
+    private fun publishAndWaitOutEarlierLeases() {
+        state.change(publish("a", basedOn = 0))
+        time += settings.earlierLeases
+    }
+
+    private fun ask(
+        target: String,
+        incarnation: Long = 1,
+        knownVersion: Long = 0,
+        running: Int = 0,
+        contact: ComparableTimeMark? = time.markNow(),
+    ): LeaseDecision {
+        val load = LoadReport(running)
+        val name = TargetName(target)
+        val request = LeaseRequest(1, name, Incarnation(incarnation), load, knownVersion)
+        return granter.request(request, state, contact, time.markNow())
+    }
+
+    private fun allocate(target: String, incarnation: Long = 1) {
+        val name = TargetName(target)
+        state.run(AllocateFencingNumber(name, Incarnation(incarnation), FleetInstant.ZERO))
+    }
+
+    private fun granted(target: String, knownVersion: Long = 0, running: Int = 0): LeaseGrant {
+        allocate(target)
+        val decision = ask(target, knownVersion = knownVersion, running = running)
+        return assertIs<LeaseDecision.Granted>(decision).grant
+    }
+
+    private fun unconfirmed(version: Long): Map<String, Duration> =
+        granter.progress(version, state, time.markNow()).unconfirmed
+            .associate { it.target.value to -it.until.elapsedNow() }
+
+    private fun refused(reason: ControlRefusal) = LeaseDecision.Refused(reason)
+
+    @Nested
+    inner class Granting {
+        @Test
+        fun `states version, state and fencing number`() {
+            publishAndWaitOutEarlierLeases()
+            state.change(dataCenter("b", lj, OUT))
+
+            val expected =
+                LeaseGrant(1, TargetName("t1"), 2, OUT, 1, 3_000, PoolLoad(0, 0))
+            assertEquals(expected, granted("t1"))
+        }
+
+        @Test
+        fun `stops before another leader can be elected without the majority`() {
+            publishAndWaitOutEarlierLeases()
+            allocate("t1")
+            val contact = time.markNow()
+            time += 594.milliseconds
+            assertIs<LeaseDecision.Granted>(ask("t1", contact = contact))
+            time += 1.milliseconds
+
+            assertEquals(refused(ControlRefusal.NO_MAJORITY), ask("t1", contact = contact))
+            assertEquals(refused(ControlRefusal.NO_MAJORITY), ask("t1", contact = null))
+        }
+
+        @Test
+        fun `is refused for targets that are not published`() {
+            publishAndWaitOutEarlierLeases()
+
+            assertEquals(refused(ControlRefusal.UNKNOWN_TARGET), ask("t9"))
+        }
+    }
+
+    @Nested
+    inner class Incarnations {
+        @Test
+        fun `get a first lease at once`() {
+            state.change(publish("a", basedOn = 0))
+
+            assertEquals(LeaseDecision.NeedsFencingNumber, ask("t1"))
+            granted("t1")
+        }
+
+        @Test
+        fun `wait until the lease of the earlier one has run out`() {
+            publishAndWaitOutEarlierLeases()
+            granted("t1")
+            time += 3.seconds
+            assertEquals(refused(ControlRefusal.OTHER_INCARNATION), ask("t1", incarnation = 2))
+            assertEquals(refused(ControlRefusal.OTHER_INCARNATION), ask("t1", incarnation = 1))
+            time += 30.milliseconds
+
+            assertEquals(LeaseDecision.NeedsFencingNumber, ask("t1", incarnation = 2))
+        }
+
+        @Test
+        fun `wait for leases of an earlier leader`() {
+            state.change(publish("a", basedOn = 0))
+            allocate("t1")
+
+            assertEquals(refused(ControlRefusal.OTHER_INCARNATION), ask("t1", incarnation = 2))
+            assertEquals(LeaseDecision.NeedsFencingNumber, ask("t2"))
+        }
+
+        @Test
+        fun `need not wait where the engine checks the number`() {
+            val checking = objects.targets.map { it.copy(checksFencing = true) }
+            state.change(publish("a", 0, objects.copy(targets = checking)))
+            granted("t1")
+
+            assertEquals(LeaseDecision.NeedsFencingNumber, ask("t1", incarnation = 2))
+        }
+    }
+
+    @Nested
+    inner class Progress {
+        @Test
+        fun `names targets that have not confirmed, until their lease has run out`() {
+            publishAndWaitOutEarlierLeases()
+            listOf("t1", "t2").forEach { granted(it) }
+            time += 1.seconds
+            granted("t3")
+            state.change(dataCenter("b", lj, OUT))
+
+            val latest = mapOf("t1" to 2_030, "t2" to 2_030, "t3" to 3_030)
+            assertEquals(latest.mapValues { it.value.milliseconds }, unconfirmed(2))
+            granter.acknowledge(TargetName("t1"), Incarnation(1), 2, time.markNow())
+            granted("t2")
+            granted("t3", knownVersion = 2)
+            assertEquals(mapOf("t2" to 2_030.milliseconds), unconfirmed(2))
+            time += 2_030.milliseconds
+            assertTrue(granter.progress(2, state, time.markNow()).isInForce)
+        }
+
+        @Test
+        fun `on a new leader waits for every target that has not confirmed`() {
+            state.change(publish("a", basedOn = 0))
+            val end = settings.earlierLeases
+
+            assertEquals(mapOf("t1" to end, "t2" to end, "t3" to end), unconfirmed(1))
+            granted("t1", knownVersion = 1)
+            assertEquals(mapOf("t2" to end, "t3" to end), unconfirmed(1))
+            time += end
+            assertEquals(emptyMap(), unconfirmed(1))
+        }
+
+        @Test
+        fun `on a new leader waits for targets that are no longer published`() {
+            state.change(publish("a", basedOn = 0))
+            state.change(publish("b", 1, objects.copy(targets = listOf(target(3, mb)))))
+            granted("t3", knownVersion = 2)
+
+            assertFalse(granter.progress(2, state, time.markNow()).isInForce)
+            time += settings.earlierLeases
+            assertTrue(granter.progress(2, state, time.markNow()).isInForce)
+        }
+    }
+
+    @Nested
+    inner class PoolLoadOfService {
+        @Test
+        fun `keeps a silent target's number until its lease has run out`() {
+            publishAndWaitOutEarlierLeases()
+            granted("t1", running = 4)
+            time += 3.seconds
+            assertEquals(PoolLoad(6, 2), granted("t2", running = 2).pool)
+            time += 30.milliseconds
+
+            assertEquals(PoolLoad(5, 2), granted("t3", running = 3).pool)
+        }
+
+        @Test
+        fun `leaves out targets that take no new work`() {
+            publishAndWaitOutEarlierLeases()
+            granted("t1", running = 4)
+            state.change(dataCenter("b", lj, OUT))
+
+            assertEquals(PoolLoad(3, 1), granted("t3", running = 3).pool)
+        }
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/LeaseSimulationTest.kt
@@ -0,0 +1,24 @@
+package org.hibiscusproxy.control
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against a sidecar that acts on a state after the instant that an operator was told. */
+class LeaseSimulationTest {
+    @Test
+    fun `no sidecar acts on an earlier state after the answered instant in 100 seeded runs`() {
+        var admissions = 0
+        var futureAnswers = 0
+        for (seed in 1..100) {
+            val simulation = LeaseSimulation(seed, LeaseSettings())
+            simulation.run(60.seconds)
+            assertEquals(emptyList(), simulation.violations.take(3), "seed $seed")
+            admissions += simulation.admissions
+            futureAnswers += simulation.futureAnswers
+        }
+        assertTrue(admissions > 100_000, "sidecars hardly ever held a lease: $admissions")
+        assertTrue(futureAnswers > 5_000, "answers hardly ever named a time: $futureAnswers")
+    }
+}
