--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/ExitCode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/ExitCode.kt
@@ -1,25 +1,19 @@
 package org.hibiscusproxy.daemon.command
 
-import kotlin.system.exitProcess
-
-/** Exit codes of the command line. */
-enum class ExitCode(val code: Int) {
-    /** The command did what it was asked. */
+/** Exit codes of the operators' commands. */
+enum class ExitCode(val number: Int) {
+    /** Done. */
     DONE(0),
 
-    /** The command was refused or failed; nothing changed unless it says so. */
-    FAILED(1),
+    /** Refused or failed. */
+    REFUSED(1),
 
-    /** The command line or a file is wrong. */
+    /** Wrong usage. */
     USAGE(2),
 
-    /** Another change won. */
+    /** Another change was made since the version that this one is based on. */
     CONFLICT(3),
 
-    /** The fleet was not reached or the outcome is unknown; the same call may be repeated. */
+    /** No controller was reached, or it is not known whether the change was made. */
     UNKNOWN(4),
-    ;
-
-    /** Ends the process with this code. */
-    fun exit(): Nothing = exitProcess(code)
 }
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -0,0 +1,65 @@
+package org.hibiscusproxy.daemon.command
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.system.exitProcess
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.coroutines.runBlocking
+import org.hibiscusproxy.daemon.logging.LogSetup
+import org.hibiscusproxy.daemon.process.FleetProcess
+import org.hibiscusproxy.daemon.process.FleetProcessFactory
+import org.hibiscusproxy.daemon.settings.Settings
+import org.hibiscusproxy.daemon.settings.SettingsReader
+import org.slf4j.LoggerFactory
+
+/** `run`: runs one process of the fleet until it is told to stop by SIGTERM or SIGINT. */
+@OptIn(ExperimentalCli::class)
+class RunCommand : Subcommand("run", "Run one process with the roles of its settings file") {
+    private val file by argument(ArgType.String, "settings", "Settings file, JSON with comments")
+
+    override fun execute() {
+        val settings = SettingsReader.read(Path.of(file)).getOrElse { faults ->
+            faults.forEach { System.err.println("$file: ${it.describe()}") }
+            exitProcess(ExitCode.USAGE.number)
+        }
+        LogSetup.apply(settings.logFormat)
+        runBlocking { start(settings) }.fold(
+            success = { process -> stopOnSignal(process, settings) },
+            failure = { failure ->
+                logger.error("process: Start failed. {}", failure.message)
+                exitProcess(ExitCode.REFUSED.number)
+            },
+        )
+    }
+
+    private suspend fun start(settings: Settings) = FleetProcessFactory(settings) { failure ->
+        logger.error("process: A role failed. {}", failure.message)
+        Runtime.getRuntime().halt(ExitCode.REFUSED.number)
+    }.start()
+
+    private fun stopOnSignal(process: FleetProcess, settings: Settings) {
+        // A shutdown hook decides the exit code by halting; otherwise the JVM reports the signal.
+        val hook = Thread {
+            val cutOff = try {
+                runBlocking { process.shutDown(settings.shutdownSeconds.seconds) }
+            } catch (failure: IOException) {
+                logger.error("process: Stopping failed. {}", failure.message)
+                1
+            }
+            val code = if (cutOff == 0) ExitCode.DONE else ExitCode.REFUSED
+            Runtime.getRuntime().halt(code.number)
+        }
+        Runtime.getRuntime().addShutdownHook(hook)
+        Thread.currentThread().join()
+    }
+
+    private companion object {
+        val logger = LoggerFactory.getLogger(RunCommand::class.java)
+    }
+
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
@@ -0,0 +1,60 @@
+package org.hibiscusproxy.daemon.controller
+
+import com.github.michaelbull.result.getOrElse
+import kotlin.time.Duration
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import org.hibiscusproxy.consensus.StorageFailure
+import org.hibiscusproxy.daemon.Role
+import org.hibiscusproxy.daemon.RoleContext
+import org.hibiscusproxy.daemon.settings.Settings
+import org.hibiscusproxy.daemon.transport.KtorPeerTransport
+import org.hibiscusproxy.protocol.Hello
+
+/** The controller as a role of a process. */
+class ControllerRole(
+    private val settings: Settings,
+    private val context: RoleContext,
+    private val onFailure: (Throwable) -> Unit,
+) : Role {
+    private val section = requireNotNull(settings.controller) { "no controller section: $settings" }
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val transport = KtorPeerTransport(
+        Hello(settings.name, settings.dataCenter, context.incarnation),
+        context.key,
+        context.registry,
+    )
+    private var controller: Controller? = null
+
+    override val isReady: Boolean get() = controller != null
+
+    /** @throws CannotOpen when the data folder is damaged or in use */
+    override suspend fun start() {
+        val parts = ControllerParts(
+            settings.name,
+            section,
+            settings.controllers,
+            transport,
+            context.key,
+            context.events,
+        )
+        val started = Controller.start(parts).getOrElse { throw CannotOpen(it) }
+        controller = started
+        scope.launch { onFailure(started.failure.await()) }
+    }
+
+    /** A controller has no callers' requests in progress; the others take over at once. */
+    override suspend fun drain(timeout: Duration): Int = 0
+
+    override fun close() {
+        scope.cancel()
+        controller?.close()
+        transport.close()
+    }
+
+    /** Carries a [StorageFailure] out of [start]. */
+    class CannotOpen(val failure: StorageFailure) : Exception("$failure")
+}
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
@@ -5,28 +5,33 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import org.hibiscusproxy.daemon.Role
 import org.hibiscusproxy.daemon.administration.AdministrationServer
 import org.hibiscusproxy.timeline.EventRecorder
 import org.hibiscusproxy.timeline.FleetEvent
 import org.slf4j.LoggerFactory
 
-/** A process of the fleet: its roles and its administration page, started and stopped together. */
+/**
+ * A process of the fleet: its roles by name and its administration page, started and stopped
+ * together.
+ */
 class FleetProcess(
-    private val roles: List<FleetRole>,
+    private val roles: Map<String, Role>,
     private val administration: AdministrationServer,
     private val events: EventRecorder,
 ) : AutoCloseable {
     private val stopping = AtomicBoolean()
+    private val closed = AtomicBoolean()
 
     /** Whether all roles take new work and no shutdown has begun. */
-    val isReady: Boolean get() = !stopping.get() && roles.all { it.isReady }
+    val isReady: Boolean get() = !stopping.get() && roles.values.all { it.isReady }
 
     /** Starts all roles. */
     suspend fun start() {
         administration.start()
-        roles.forEach { it.start() }
-        events.record(FleetEvent.ProcessStarted(roles.map { it.name }))
-        logger.info("process: Started as {}.", roles.joinToString { it.name })
+        roles.values.forEach { it.start() }
+        events.record(FleetEvent.ProcessStarted(roles.keys.toList()))
+        logger.info("process: Started as {}.", roles.keys.joinToString())
     }
 
     /**
@@ -36,11 +41,9 @@
      */
     suspend fun shutDown(timeout: Duration): Int {
         if (!stopping.compareAndSet(false, true)) return 0
-        val inProgress = roles.sumOf { it.inProgress }
-        events.record(FleetEvent.ProcessStopping(inProgress))
-        logger.info("process: Stopping with {} requests in progress.", inProgress)
+        logger.info("process: Stopping.")
         val cutOff = coroutineScope {
-            roles.map { role -> async { role.drain(timeout) } }.awaitAll().sum()
+            roles.values.map { role -> async { role.drain(timeout) } }.awaitAll().sum()
         }
         close()
         if (cutOff == 0) {
@@ -52,7 +55,8 @@
     }
 
     override fun close() {
-        roles.forEach { it.close() }
+        if (!closed.compareAndSet(false, true)) return
+        roles.values.forEach { it.close() }
         administration.close()
     }
 
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcessFactory.kt
@@ -0,0 +1,81 @@
+package org.hibiscusproxy.daemon.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.javalin.util.JavalinBindException
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.io.IOException
+import java.nio.file.Path
+import org.hibiscusproxy.daemon.Role
+import org.hibiscusproxy.daemon.RoleContext
+import org.hibiscusproxy.daemon.administration.AdministrationServer
+import org.hibiscusproxy.daemon.controller.ControllerRole
+import org.hibiscusproxy.daemon.entry.Entry
+import org.hibiscusproxy.daemon.settings.Settings
+import org.hibiscusproxy.daemon.sidecar.Sidecar
+import org.hibiscusproxy.daemon.timeline.FileEventRecorder
+import org.hibiscusproxy.daemon.transport.FleetKey
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.timeline.EventRecorder
+
+/**
+ * Makes and starts the process that [settings] describe.
+ *
+ * @param onRoleFailure called when a role stops by itself, as on a storage failure
+ */
+class FleetProcessFactory(
+    private val settings: Settings,
+    private val onRoleFailure: (Throwable) -> Unit,
+) {
+    /** Starts all roles, or none. */
+    suspend fun start(): Result<FleetProcess, StartFailure> {
+        val key = FleetKey.read(Path.of(settings.fleetKeyFile)).getOrElse { failure ->
+            return Err(StartFailure.BadKey(failure))
+        }
+        val incarnation = Incarnation(System.currentTimeMillis())
+        val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+        registerProcessMeters(registry)
+        val events = recorder(incarnation)
+        val roles = try {
+            roles(RoleContext(key, incarnation, registry, events))
+        } catch (failure: IllegalArgumentException) {
+            return Err(StartFailure.BadSetting(failure.message.orEmpty()))
+        }
+        lateinit var process: FleetProcess
+        val administration = AdministrationServer(settings.administration, registry) {
+            process.isReady
+        }
+        process = FleetProcess(roles, administration, events)
+        return start(process)
+    }
+
+    private suspend fun start(process: FleetProcess): Result<FleetProcess, StartFailure> = try {
+        process.start()
+        Ok(process)
+    } catch (failure: IOException) {
+        process.close()
+        Err(StartFailure.CannotListen(failure.message.orEmpty()))
+    } catch (failure: JavalinBindException) {
+        process.close()
+        Err(StartFailure.CannotListen(failure.message.orEmpty()))
+    } catch (failure: ControllerRole.CannotOpen) {
+        process.close()
+        Err(StartFailure.BadStorage(failure.failure))
+    }
+
+    private fun recorder(incarnation: Incarnation): EventRecorder {
+        val file = settings.eventFile ?: return EventRecorder { }
+        return FileEventRecorder(settings.name, incarnation, Path.of(file))
+    }
+
+    private fun roles(context: RoleContext): Map<String, Role> = buildMap {
+        if (settings.controller != null) {
+            put("controller", ControllerRole(settings, context, onRoleFailure))
+        }
+        if (settings.sidecar != null) put("sidecar", Sidecar.of(settings, context))
+        if (settings.entry != null) put("entry", Entry.of(settings, context))
+    }
+}
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/Deployment.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/Deployment.kt
@@ -80,6 +80,16 @@
         },
     )
 
+    /** Names of the controllers. */
+    val controllerNames: List<String> = List(controllers) { "controller-${it + 1}" }
+
+    /** Where operators reach the controllers. */
+    val operatorAddresses: List<NetworkAddress> =
+        List(controllers) { address(OPERATORS_OFFSET + it) }
+
+    /** Where callers reach the entries. */
+    val entryAddresses: List<NetworkAddress> = List(entries) { address(ENTRY_OFFSET + it) }
+
     /** Loopback address at [offset] ports from the base. */
     fun address(offset: Int): NetworkAddress = NetworkAddress("127.0.0.1", basePort + offset)
 
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/DeploymentFolder.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/DeploymentFolder.kt
@@ -23,6 +23,7 @@
     private val folder: Path,
     /** Options added to each engine, such as `--cache-blocks 4096`. */
     private val engineOptions: List<String> = emptyList(),
+    private val addresses: AddressPlan = AddressPlan.DIRECT,
 ) {
     private val json = Json { prettyPrint = true }
 
@@ -31,7 +32,7 @@
         (folder / "settings").createDirectories()
         (folder / "fleet.key").writeText(randomKey())
         (folder / "objects.json").writeText(
-            json.encodeToString(FleetObjects.serializer(), deployment.objects),
+            json.encodeToString(FleetObjects.serializer(), objects()),
         )
         val processes = controllers() + workers() + sidecars() + entries()
         (folder / "processes.txt").writeText(
@@ -40,14 +41,35 @@
         return processes
     }
 
+    /** The objects to publish, with the addresses at which entries reach the sidecars. */
+    fun objects(): FleetObjects = deployment.objects.copy(
+        targets = deployment.objects.targets.map { target ->
+            val sidecar = addresses.address(null, "sidecar-${target.name}", target.sidecar)
+            target.copy(sidecar = sidecar)
+        },
+    )
+
     private val controllerAddresses: List<ControllerAddress> =
         List(deployment.controllers) { index ->
             ControllerAddress(
                 ProcessName("controller-${index + 1}"),
                 deployment.address(Deployment.CONTROLLER_OFFSET + index),
+                deployment.address(Deployment.OPERATORS_OFFSET + index),
             )
         }
 
+    private fun controllersSeenBy(process: ProcessName): List<ControllerAddress> =
+        controllerAddresses.map { controller ->
+            if (controller.name == process) {
+                controller
+            } else {
+                val name = controller.name.value
+                controller.copy(
+                    address = addresses.address(process.value, name, controller.address),
+                )
+            }
+        }
+
     private fun controllers(): List<PlannedProcess> =
         controllerAddresses.mapIndexed { index, controller ->
             val settings = settings(
@@ -104,7 +126,7 @@
         dataCenter = deployment.dataCenters[index % deployment.dataCenters.size],
         administration = administration,
         fleetKeyFile = (folder / "fleet.key").toString(),
-        controllers = controllerAddresses,
+        controllers = controllersSeenBy(name),
         eventFile = (folder / "events" / "$name.jsonl").toString(),
     )
 
