--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/answers/Answer.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/answers/Answer.kt
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /**
  * The only correct answer to a prompt. Token 0 is the prompt's SHA-256 in hexadecimal, the others
@@ -50,7 +51,7 @@
 }
 
 /** Bytes as lower-case hexadecimal digits. */
-fun ByteArray.toHexadecimal(): String = joinToString("") { "%02x".format(it) }
+fun ByteArray.toHexadecimal(): String = HexFormat.of().formatHex(this)
 
 /** SHA-256 of these bytes in hexadecimal. */
 fun ByteArray.sha256(): String = MessageDigest.getInstance("SHA-256").digest(this).toHexadecimal()
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/Engine.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/Engine.kt
@@ -219,7 +219,9 @@
     }
 
     private fun step() {
-        if (!isStalled()) giveTokens()
+        // A failed step must not end the steps of all other requests.
+        runCatching { if (!isStalled()) giveTokens() }
+            .onFailure { log.error("engine: {} failed in a step", options.name, it) }
         stepIsScheduled = running.isNotEmpty()
         if (stepIsScheduled) scheduleNextStep()
     }
@@ -234,7 +236,7 @@
             }
             if (run.produced == 0) cache.store(run.tokens.blocks)
             run.produced++
-            if (run.produced >= run.request.maximumTokens) complete(run)
+            if (run.produced >= run.maximumTokens) complete(run)
             run.readers.toList().forEach(RunReader::runChanged)
         }
         startWaiting()
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/EngineRun.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/EngineRun.kt
@@ -30,9 +30,13 @@
  * One chat completion in an engine. The engine's thread writes the state; readers on other threads
  * see [produced] and [state] in that order and may read any token below [produced].
  */
-class EngineRun(val requestId: String, val request: ChatRequest, val priority: Priority) {
-    private val prompt: String = promptOf(request.messages)
-
+class EngineRun private constructor(
+    val requestId: String,
+    val priority: Priority,
+    val model: String,
+    val maximumTokens: Int,
+    prompt: String,
+) {
     /** The words of the prompt. */
     val tokens: PromptTokens = PromptTokens.of(prompt)
 
@@ -74,6 +78,15 @@
     companion object {
         /** Word in a prompt that crashes each engine that runs it. */
         const val CRASH_MARKER: String = "CRASH-TARGET"
+
+        /** A run of [request], which keeps nothing of the prompt's text. */
+        fun of(requestId: String, request: ChatRequest, priority: Priority): EngineRun = EngineRun(
+            requestId = requestId,
+            priority = priority,
+            model = request.model,
+            maximumTokens = request.maximumTokens,
+            prompt = promptOf(request.messages),
+        )
     }
 }
 
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/EngineServlet.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/EngineServlet.kt
@@ -17,19 +17,23 @@
     override fun doPost(request: HttpServletRequest, response: HttpServletResponse) {
         engine.awaitAnswering()
         val requestId = request.getHeader("X-Request-Id") ?: UUID.randomUUID().toString()
-        val run = try {
-            EngineRun(requestId, readChat(request), readPriority(request))
+        val chat: ChatRequest
+        val priority: Priority
+        try {
+            chat = readChat(request)
+            priority = readPriority(request)
         } catch (failure: IllegalArgumentException) {
             response.fail(400, "invalid-request", failure.message.orEmpty(), requestId)
             return
         }
+        val run = EngineRun.of(requestId, chat, priority)
         if (!engine.submit(run)) {
             response.setHeader("Retry-After", "1")
             response.fail(503, "overloaded", "too many requests wait", requestId)
             return
         }
         response.setHeader("X-Request-Id", requestId)
-        respond(request, response, run, from = 0, isStream = run.request.stream)
+        respond(request, response, run, from = 0, isStream = chat.stream)
     }
 
     override fun doGet(request: HttpServletRequest, response: HttpServletResponse) {
@@ -45,7 +49,7 @@
             response.fail(410, "cancelled", "the request was cancelled", requestId)
             return
         }
-        if (from !in 0..run.request.maximumTokens) {
+        if (from !in 0..run.maximumTokens) {
             response.fail(400, "invalid-request", "from is out of range: $from", requestId)
             return
         }
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/RunWriter.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/RunWriter.kt
@@ -3,6 +3,7 @@
 import jakarta.servlet.AsyncContext
 import jakarta.servlet.ServletOutputStream
 import jakarta.servlet.WriteListener
+import java.io.IOException
 import java.time.Instant
 import java.time.temporal.ChronoUnit
 import kotlinx.serialization.encodeToString
@@ -58,7 +59,18 @@
         runCatching { context.complete() }
     }
 
+    /** Runs on the engine's thread too, which a broken connection of one caller must not stop. */
     private fun pump() {
+        try {
+            writeAll()
+        } catch (failure: IOException) {
+            close()
+        } catch (failure: IllegalStateException) {
+            close()
+        }
+    }
+
+    private fun writeAll() {
         while (mayWrite && !isClosed) {
             if (flushIsDue) {
                 flushIsDue = false
@@ -108,7 +120,7 @@
     private fun chunk(choice: ChunkChoice) = ChatChunk(
         id = run.requestId,
         created = run.created,
-        model = run.request.model,
+        model = run.model,
         engine = engineName,
         choices = listOf(choice),
         sentAt = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()),
@@ -121,7 +133,7 @@
         val response = ChatResponse(
             id = run.requestId,
             created = run.created,
-            model = run.request.model,
+            model = run.model,
             engine = engineName,
             choices = listOf(Choice(message, FINISH_REASON)),
             usage = run.usage(),
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/Caller.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/Caller.kt
@@ -12,6 +12,7 @@
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
@@ -39,12 +40,14 @@
     private val finished: (Arrival, RequestOutcome) -> Unit,
 ) : AutoCloseable {
     private val threads = ThreadPoolExecutor(
-        0,
+        maxOf(options.burst, MINIMUM_THREADS),
         Int.MAX_VALUE,
         IDLE_THREAD_SECONDS,
         TimeUnit.SECONDS,
         SynchronousQueue(),
     ) { task -> Thread(null, task, "caller", THREAD_STACK_BYTES).apply { isDaemon = true } }
+
+    // Without TLS specifications the client does not load certificates.
     private val client = OkHttpClient.Builder()
         .dispatcher(
             Dispatcher(threads).apply {
@@ -53,20 +56,23 @@
             },
         )
         .connectionPool(ConnectionPool(POOLED_CONNECTIONS, POOLED_SECONDS, TimeUnit.SECONDS))
+        .connectionSpecs(listOf(ConnectionSpec.CLEARTEXT))
         .retryOnConnectionFailure(false)
         .callTimeout((options.timeoutSeconds * 1_000).toLong(), TimeUnit.MILLISECONDS)
         .readTimeout(0, TimeUnit.SECONDS)
         .build()
     private val nextEntry = AtomicInteger()
 
-    /** Sends [arrival], which was due at the monotonic time [dueNanoseconds]. */
-    fun send(arrival: Arrival, dueNanoseconds: Long) {
-        val handler = when (arrival) {
-            is Arrival.Question -> question(arrival, dueNanoseconds)
-            is Arrival.Booking -> booking(arrival, dueNanoseconds)
-        }
-        recorder.started(System.nanoTime() - dueNanoseconds)
-        client.newCall(handler.request).enqueue(handler)
+    /** Builds the request of [arrival] ahead of time. */
+    fun prepare(arrival: Arrival): PreparedCall = when (arrival) {
+        is Arrival.Question -> QuestionCall(arrival)
+        is Arrival.Booking -> BookingCall(arrival)
+    }
+
+    /** Loads the client's classes and starts its threads, which would delay a burst's start. */
+    fun warmUp() {
+        threads.prestartAllCoreThreads()
+        options.entries.forEach { runCatching { get("$it/health") } }
     }
 
     /** Body of `GET` [url]. */
@@ -84,109 +90,21 @@
     /** Request identifier sent with [question]. */
     fun requestIdOf(question: Arrival.Question): String = "$runId-${question.chat}-${question.turn}"
 
-    private fun question(question: Arrival.Question, dueNanoseconds: Long): Handler {
-        val chat = ChatRequest(
-            options.model,
-            question.messages,
-            options.answerTokens,
-            question.isStream,
-        )
-        val request = Request.Builder()
-            .url("${entry()}/v1/chat/completions")
-            .header("X-Team", question.team)
-            .header("X-Request-Id", requestIdOf(question))
-            .post(standInJson.encodeToString(chat).toRequestBody(JSON))
-        options.service?.let { request.header("X-Service", it) }
-        val answer = Answer.to(promptOf(question.messages))
-        return Handler(question, request.build()) { response ->
-            val outcome = when {
-                question.isStream -> readStream(
-                    response,
-                    StreamCheck(answer, options.answerTokens),
-                    dueNanoseconds,
-                )
-                else -> readWhole(response, answer.text(options.answerTokens))
-            }
-            recorder.whole.record(System.nanoTime() - dueNanoseconds)
-            outcome
-        }
-    }
-
-    private fun booking(booking: Arrival.Booking, dueNanoseconds: Long): Handler {
-        val key = keyOf(booking)
-        val body = """{"booking": "$key", "team": "${booking.team}"}""".encodeToByteArray()
-        val request = Request.Builder()
-            .url("${entry()}/services/${options.bookingService}/bookings")
-            .header("X-Team", booking.team)
-            .header("Idempotency-Key", key)
-            .post(body.toRequestBody(JSON))
-            .build()
-        return Handler(booking, request) { response ->
-            val answer = standInJson.decodeFromString<ServiceAnswer>(response.body.string())
-            recorder.booking.record(System.nanoTime() - dueNanoseconds)
-            if (answer.idempotencyKey == key && answer.bodySha256 == body.sha256()) {
-                RequestOutcome.Complete(0, 0)
-            } else {
-                RequestOutcome.Wrong("booking $key was answered with $answer")
-            }
-        }
-    }
-
     private fun entry(): String =
         options.entries[Math.floorMod(nextEntry.getAndIncrement(), options.entries.size)]
 
-    private fun readWhole(response: Response, expected: String): RequestOutcome {
-        val answer = standInJson.decodeFromString<ChatResponse>(response.body.string())
-        val content = answer.choices.firstOrNull()?.message?.content
-        if (content != expected) return RequestOutcome.Wrong("'$content' instead of '$expected'")
-        val usage = answer.usage
-        return RequestOutcome.Complete(usage.promptTokens, usage.promptTokensDetails.cachedTokens)
-    }
+    /** One request that is ready to be sent. */
+    abstract inner class PreparedCall(private val arrival: Arrival) : Callback {
+        protected var dueNanoseconds: Long = 0
+        protected abstract val request: Request
 
-    private fun readStream(
-        response: Response,
-        check: StreamCheck,
-        dueNanoseconds: Long,
-    ): RequestOutcome {
-        var previousNanoseconds = 0L
-        var hasEndMarker = false
-        val source = response.body.source()
-        try {
-            while (!hasEndMarker) {
-                val line = source.readUtf8Line() ?: break
-                if (!line.startsWith(DATA)) continue
-                val now = System.nanoTime()
-                val data = line.substring(DATA.length).trim()
-                hasEndMarker = data == END_OF_STREAM
-                if (hasEndMarker) break
-                if (data.startsWith("{\"error\"")) return RequestOutcome.Broken(data)
-                val chunk = standInJson.decodeFromString<ChatChunk>(data)
-                val microseconds = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now())
-                if (!check.accept(chunk)) continue
-                recorder.relayDelay.record((microseconds - chunk.sentAt) * 1_000)
-                if (previousNanoseconds == 0L) {
-                    recorder.firstToken.record(now - dueNanoseconds)
-                } else {
-                    recorder.betweenTokens.record(now - previousNanoseconds)
-                }
-                previousNanoseconds = now
-            }
-        } catch (failure: IOException) {
-            val outcome = check.outcome(hasEndMarker = false)
-            return if (outcome is RequestOutcome.Broken) {
-                RequestOutcome.Broken("${outcome.detail}: $failure")
-            } else {
-                outcome
-            }
+        /** Sends the request, which was due at the monotonic time [dueNanoseconds]. */
+        fun send(dueNanoseconds: Long) {
+            this.dueNanoseconds = dueNanoseconds
+            recorder.started(System.nanoTime() - dueNanoseconds)
+            client.newCall(request).enqueue(this)
         }
-        return check.outcome(hasEndMarker)
-    }
 
-    private inner class Handler(
-        private val arrival: Arrival,
-        val request: Request,
-        private val read: (Response) -> RequestOutcome,
-    ) : Callback {
         override fun onFailure(call: Call, e: IOException) = finish(
             if (e is ConnectException) {
                 RequestOutcome.NotRun("connection-refused", requestId = null)
@@ -205,6 +123,9 @@
             },
         )
 
+        /** Judges the body of a successful response. */
+        protected abstract fun read(response: Response): RequestOutcome
+
         private fun refusal(response: Response): RequestOutcome {
             val body = response.body.string()
             val error = runCatching { standInJson.decodeFromString<ErrorBody>(body).error }
@@ -217,16 +138,105 @@
         }
 
         private fun finish(outcome: RequestOutcome) {
-            val label = when (arrival) {
-                is Arrival.Question -> "chat ${arrival.chat} turn ${arrival.turn}"
-                is Arrival.Booking -> "booking ${keyOf(arrival)}"
-            }
-            recorder.finished(label, outcome)
+            recorder.finished(labelOf(arrival), outcome)
             finished(arrival, outcome)
         }
     }
 
+    private inner class BookingCall(private val booking: Arrival.Booking) : PreparedCall(booking) {
+        private val key = keyOf(booking)
+        private val body = """{"booking": "$key", "team": "${booking.team}"}""".encodeToByteArray()
+        override val request: Request = Request.Builder()
+            .url("${entry()}/services/${options.bookingService}/bookings")
+            .header("X-Team", booking.team)
+            .header("Idempotency-Key", key)
+            .post(body.toRequestBody(JSON))
+            .build()
+
+        override fun read(response: Response): RequestOutcome {
+            val answer = standInJson.decodeFromString<ServiceAnswer>(response.body.string())
+            recorder.booking.record(System.nanoTime() - dueNanoseconds)
+            if (answer.idempotencyKey == key && answer.bodySha256 == body.sha256()) {
+                return RequestOutcome.Complete(0, 0)
+            }
+            return RequestOutcome.Wrong("booking $key was answered with $answer")
+        }
+    }
+
+    private inner class QuestionCall(private val question: Arrival.Question) :
+        PreparedCall(question) {
+        private val answer = Answer.to(promptOf(question.messages))
+        override val request: Request = Request.Builder()
+            .url("${entry()}/v1/chat/completions")
+            .header("X-Team", question.team)
+            .header("X-Request-Id", requestIdOf(question))
+            .apply { options.service?.let { header("X-Service", it) } }
+            .post(standInJson.encodeToString(chat()).toRequestBody(JSON))
+            .build()
+        private var previousNanoseconds = 0L
+
+        override fun read(response: Response): RequestOutcome {
+            val outcome = if (question.isStream) readStream(response) else readWhole(response)
+            if (outcome is RequestOutcome.Complete) {
+                recorder.whole.record(System.nanoTime() - dueNanoseconds)
+            }
+            return outcome
+        }
+
+        private fun chat() = ChatRequest(
+            model = options.model,
+            messages = question.messages,
+            maximumTokens = options.answerTokens,
+            stream = question.isStream,
+        )
+
+        private fun readWhole(response: Response): RequestOutcome {
+            val whole = standInJson.decodeFromString<ChatResponse>(response.body.string())
+            val content = whole.choices.firstOrNull()?.message?.content
+            val expected = answer.text(options.answerTokens)
+            if (content != expected) return RequestOutcome.Wrong("'$content' for '$expected'")
+            val details = whole.usage.promptTokensDetails
+            return RequestOutcome.Complete(whole.usage.promptTokens, details.cachedTokens)
+        }
+
+        private fun readStream(response: Response): RequestOutcome {
+            val check = StreamCheck(answer, options.answerTokens)
+            val source = response.body.source()
+            try {
+                while (true) {
+                    val line = source.readUtf8Line() ?: return check.outcome(hasEndMarker = false)
+                    if (!line.startsWith(DATA)) continue
+                    val data = line.substring(DATA.length).trim()
+                    if (data == END_OF_STREAM) return check.outcome(hasEndMarker = true)
+                    if (data.startsWith(ERROR)) return check.failed(data)
+                    val chunk = standInJson.decodeFromString<ChatChunk>(data)
+                    if (check.accept(chunk)) recordToken(chunk)
+                }
+            } catch (failure: IOException) {
+                return check.failed(failure.toString())
+            }
+        }
+
+        private fun recordToken(chunk: ChatChunk) {
+            val now = System.nanoTime()
+            val microseconds = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now())
+            recorder.relayDelay.record(TimeUnit.MICROSECONDS.toNanos(microseconds - chunk.sentAt))
+            if (previousNanoseconds == 0L) {
+                recorder.firstToken.record(now - dueNanoseconds)
+            } else {
+                recorder.betweenTokens.record(now - previousNanoseconds)
+            }
+            previousNanoseconds = now
+        }
+    }
+
+    private fun labelOf(arrival: Arrival): String = when (arrival) {
+        is Arrival.Question -> "chat ${arrival.chat} turn ${arrival.turn}"
+        is Arrival.Booking -> "booking ${keyOf(arrival)}"
+    }
+
     private companion object {
+        const val MINIMUM_THREADS = 32
         const val IDLE_THREAD_SECONDS = 5L
         const val THREAD_STACK_BYTES = 262_144L
         const val POOLED_CONNECTIONS = 1_024
@@ -234,6 +244,7 @@
         // Shorter than the servers' idle time, so that no request meets a connection being closed.
         const val POOLED_SECONDS = 10L
         const val DATA = "data:"
+        const val ERROR = "{\"error\""
         const val END_OF_STREAM = "[DONE]"
         const val OUTCOME_HEADER = "X-Hibiscus-Outcome"
         val JSON = "application/json".toMediaType()
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/LoadRun.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/LoadRun.kt
@@ -23,13 +23,13 @@
 
     /** Runs to the end of the last request and returns the summary. */
     fun execute(): LoadLine.Summary {
-        val arrivals = Workload(options).arrivals().let {
-            if (options.burst > 0) it.toList().asSequence() else it
-        }
+        val planned = Workload(options).arrivals().map { it to caller.prepare(it) }
+        val calls = if (options.burst > 0) planned.toList().asSequence() else planned
+        caller.warmUp()
         val startNanoseconds = System.nanoTime()
         val ticker = Executors.newSingleThreadScheduledExecutor()
         ticker.scheduleAtFixedRate(::writeSecond, 1, 1, TimeUnit.SECONDS)
-        sendAll(arrivals, startNanoseconds)
+        sendAll(calls, startNanoseconds)
         while (recorder.inProgress > 0) Thread.sleep(POLL_MILLISECONDS)
         stop(ticker)
         writeSecond()
@@ -41,12 +41,15 @@
         return summary
     }
 
-    private fun sendAll(arrivals: Sequence<Arrival>, startNanoseconds: Long) {
-        for (arrival in arrivals) {
+    private fun sendAll(
+        calls: Sequence<Pair<Arrival, Caller.PreparedCall>>,
+        startNanoseconds: Long,
+    ) {
+        for ((arrival, call) in calls) {
             val due = startNanoseconds + (arrival.atSeconds * NANOSECONDS_PER_SECOND).toLong()
             val wait = due - System.nanoTime()
             if (wait > 0) TimeUnit.NANOSECONDS.sleep(wait)
-            caller.send(arrival, due)
+            call.send(due)
         }
     }
 
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/StreamCheck.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/StreamCheck.kt
@@ -32,6 +32,10 @@
         return RequestOutcome.Complete(use.promptTokens, use.promptTokensDetails.cachedTokens)
     }
 
+    /** The outcome when the stream ended with a failure described by [detail]. */
+    fun failed(detail: String): RequestOutcome =
+        fault ?: RequestOutcome.Broken("after $tokens tokens: $detail")
+
     private fun faultOf(chunk: ChatChunk, content: String): RequestOutcome? {
         if (tokens >=
             expectedTokens
--- /dev/null
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/platform/PlatformServer.kt
@@ -0,0 +1,96 @@
+package org.hibiscusproxy.standins.platform
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.standins.http.StandInServer
+import org.hibiscusproxy.standins.http.answer
+import org.hibiscusproxy.standins.http.read
+
+/** What the platform says about an instance. */
+@Serializable
+enum class InstanceState {
+    /** The instance stays. */
+    @SerialName("live")
+    LIVE,
+
+    /** The instance will be taken away. */
+    @SerialName("leaving")
+    LEAVING,
+}
+
+/** One instance in the platform's list. */
+@Serializable
+data class PlatformInstance(val name: String, val dataCenter: String, val state: InstanceState)
+
+/** Body of `POST /instances`. */
+@Serializable
+data class NewInstanceList(val instances: List<PlatformInstance>)
+
+/** Answer to `GET /instances`. */
+@Serializable
+data class InstanceList(val version: Long, val instances: List<PlatformInstance>)
+
+/**
+ * The platform's list of instances. Readers see it as it was some time ago: `lag-milliseconds` in
+ * the query, or the configured lag. Its lock guards the history.
+ *
+ * @param now monotonic time in nanoseconds
+ */
+class InstanceHistory(private val lagMilliseconds: Long, private val now: () -> Long) {
+    private class Entry(val atNanoseconds: Long, val list: InstanceList)
+
+    private val history = ArrayDeque<Entry>()
+
+    init {
+        history += Entry(Long.MIN_VALUE, InstanceList(0, emptyList()))
+    }
+
+    /** Replaces the list; readers see it when their lag has passed. */
+    @Synchronized
+    fun set(instances: List<PlatformInstance>): InstanceList {
+        val names = instances.groupingBy { it.name }.eachCount().filterValues { it > 1 }.keys
+        require(names.isEmpty()) { "instances are listed more than once: $names" }
+        val list = InstanceList(history.last().list.version + 1, instances)
+        if (history.size == MAXIMUM_ENTRIES) history.removeFirst()
+        history += Entry(now(), list)
+        return list
+    }
+
+    /** The list as it was [lag] milliseconds ago, or the configured lag when null. */
+    @Synchronized
+    fun read(lag: Long?): InstanceList {
+        val newest = now() - (lag ?: lagMilliseconds) * NANOSECONDS_PER_MILLISECOND
+        return (history.lastOrNull { it.atNanoseconds <= newest } ?: history.first()).list
+    }
+
+    private companion object {
+        const val MAXIMUM_ENTRIES = 1_000
+        const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
+    }
+}
+
+/** HTTP interface of the stand-in platform. */
+class PlatformServer private constructor(private val server: StandInServer) : AutoCloseable {
+    /** Where the platform listens. */
+    val address: NetworkAddress get() = server.address
+
+    override fun close() = server.close()
+
+    companion object {
+        /** Starts a platform at [listen] whose list lags by [lagMilliseconds]. */
+        fun start(listen: NetworkAddress, lagMilliseconds: Long): PlatformServer {
+            val history = InstanceHistory(lagMilliseconds, System::nanoTime)
+            val server = StandInServer.start(listen, threads = 8) { config ->
+                config.routes.get("/instances") {
+                    it.answer(history.read(it.queryParam("lag-milliseconds")?.toLong()))
+                }
+                config.routes.post("/instances") {
+                    it.answer(history.set(it.read<NewInstanceList>().instances))
+                }
+                config.routes.get("/health") { it.result("ok") }
+            }
+            return PlatformServer(server)
+        }
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-standins/src/test/kotlin/org/hibiscusproxy/standins/load/WorkloadTest.kt
@@ -0,0 +1,64 @@
+package org.hibiscusproxy.standins.load
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Guards against a workload that can't be repeated or has no returning chats. */
+class WorkloadTest {
+    private val options = LoadOptions(
+        entries = listOf("unused"),
+        teams = 4,
+        manualTokens = 50,
+        chats = 400,
+        rate = 100.0,
+        durationSeconds = 20.0,
+        bookingShare = 0.1,
+        streamShare = 0.5,
+    )
+
+    private val arrivals = Workload(options).arrivals().toList()
+    private val questions = arrivals.filterIsInstance<Arrival.Question>()
+
+    @Nested
+    inner class Arrivals {
+        @Test
+        fun `are the same for the same seed and others for another`() {
+            assertEquals(arrivals, Workload(options).arrivals().toList())
+            assertTrue(arrivals != Workload(options.copy(seed = 2)).arrivals().toList())
+        }
+
+        @Test
+        fun `have the rate and shares that were asked for`() {
+            assertTrue(arrivals.size in 1_800..2_200, "${arrivals.size} arrivals")
+            val bookings = arrivals.size - questions.size
+            assertTrue(bookings in 150..250, "$bookings bookings")
+            val teams = arrivals.groupingBy { it.team }.eachCount()
+            assertTrue(teams.getValue("team-1") > 3 * teams.getValue("team-4"), "$teams")
+        }
+    }
+
+    @Nested
+    inner class Chats {
+        @Test
+        fun `return after a pause with the same beginning`() {
+            val chats = questions.groupBy { it.chat }
+            assertTrue(chats.values.any { it.size == options.chatTurns })
+            for (chat in chats.values) {
+                assertEquals(chat.indices.toList(), chat.map { it.turn })
+                chat.zipWithNext { earlier, later ->
+                    assertEquals(earlier.messages, later.messages.take(earlier.messages.size))
+                    assertTrue(later.atSeconds - earlier.atSeconds >= options.pauseSeconds)
+                }
+            }
+        }
+
+        @Test
+        fun `of a burst all start at once`() {
+            val burst = Workload(options.copy(burst = 30, bookingShare = 0.0)).arrivals().toList()
+
+            assertEquals(List(30) { 0.0 }, burst.map { it.atSeconds })
+        }
+    }
+}
