--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/Main.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/Main.kt
@@ -10,7 +10,7 @@
 import org.hibiscusproxy.standins.platform.PlatformCommand
 import org.hibiscusproxy.standins.scenario.ScenarioCommand
 import org.hibiscusproxy.standins.service.ServiceCommand
-import org.hibiscusproxy.standins.weights.WeightsCommand
+import org.hibiscusproxy.standins.weights.WeightCommand
 
 /** Starts the command line of the stand-ins and the load tool. */
 @OptIn(ExperimentalCli::class)
@@ -20,7 +20,7 @@
         EngineCommand(),
         ServiceCommand(),
         PlatformCommand(),
-        WeightsCommand(),
+        WeightCommand(),
         FaultProxyCommand(),
         LoadCommand(),
         DeploymentCommand(),
