Prove the data path against faults and tidy its shutdown

One fault was found: an answer to a caller that had left was still handed to Jetty, which logged a write error; such requests now end without writing. A listener now cancels its accept loop before it closes the socket, which ends a warning at each shutdown. Removing the hold on non-repeatable calls when their caller leaves was ruled out: the test shows that the resend gets the recorded answer and the desk is called once.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestHandler.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestHandler.kt
@@ -118,7 +118,7 @@
         response.done.thenRun { requestRun.callerLeft() }
         val end = requestRun.run()
         watch.stop()
-        finish(response, checked, end)
+        finish(response, checked, if (requestRun.hasCallerLeft) RequestEnd.CallerGone else end)
     }
 
     private fun finish(response: CallerResponse, request: CallerRequest, end: RequestEnd) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
@@ -72,8 +72,10 @@
     @Volatile
     private var relay: AnswerRelay? = null
 
+    /** Whether nobody waits for the answer any more. */
     @Volatile
-    private var hasCallerLeft = false
+    var hasCallerLeft: Boolean = false
+        private set
 
     /** The caller has gone. A claimed call runs on, so that a resend gets its answer. */
     fun callerLeft() {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransport.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransport.kt
@@ -78,8 +78,8 @@
             override val address = NetworkAddress(address.host, port)
 
             override fun close() {
-                server.close()
                 listenerScope.cancel()
+                server.close()
             }
         }
     }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/testing/FakeTarget.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/testing/FakeTarget.kt
@@ -28,7 +28,10 @@
     /** Calls received, without `/load`. */
     val calls = ConcurrentLinkedQueue<TargetCall>()
 
-    /** Handles calls in place of the standard answer when it returns true. */
+    /**
+     * Handles calls in place of the standard answer when it returns true. An exception cuts the
+     * connection without an end of the answer.
+     */
     @Volatile
     var behaviour: (HttpExchange, TargetCall) -> Boolean = { _, _ -> false }
 
@@ -41,7 +44,8 @@
     init {
         server.executor = executor
         server.createContext("/") { exchange ->
-            exchange.use { if (it.requestURI.path == "/load") load(it) else answer(it) }
+            if (exchange.requestURI.path == "/load") load(exchange) else answer(exchange)
+            exchange.close()
         }
         server.start()
     }
