--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/StatusCommand.kt
@@ -0,0 +1,27 @@
+package org.hibiscusproxy.daemon.command
+
+import com.github.michaelbull.result.getOrElse
+import org.hibiscusproxy.daemon.controller.StatusReport
+import org.hibiscusproxy.model.NetworkAddress
+
+/** `status`: asks every given controller for its role, term, version and members. */
+class StatusCommand : OperatorCommand("status", "Print the status of the given controllers") {
+    private val options = ControllerOptions(this)
+
+    override fun run(): ExitCode {
+        val addresses = options.addresses().getOrElse { return usage(it) }
+        val exitCodes = addresses.map(::report)
+        // One controller that answers is enough to know the state of the fleet.
+        return exitCodes.firstOrNull { it == ExitCode.DONE } ?: exitCodes.first()
+    }
+
+    private fun report(address: NetworkAddress): ExitCode {
+        val client = options.client(listOf(address)).getOrElse { return usage(it) }
+        return client.use {
+            handle(it.call("GET", "/status"), StatusReport.serializer()) { report ->
+                print(StatusReport.serializer(), report)
+                ExitCode.DONE
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ConnectionSession.kt
@@ -0,0 +1,56 @@
+package org.hibiscusproxy.daemon.controller
+
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import org.hibiscusproxy.daemon.transport.PeerConnection
+import org.hibiscusproxy.protocol.Hello
+import org.hibiscusproxy.protocol.PeerMessage
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/** Joins an accepted connection to the worker's inbox. */
+internal class ConnectionSession(private val connection: PeerConnection) : PeerSession {
+    private val outgoing = Channel<PeerMessage>(MAXIMUM_WAITING)
+
+    override val remote: Hello get() = connection.remote
+
+    override fun send(message: PeerMessage) {
+        if (outgoing.trySend(message).isSuccess) return
+        if (outgoing.close()) {
+            LOG.warn("controller: {} reads too slowly, connection closed", remote.process)
+            connection.close()
+        }
+    }
+
+    /** Passes messages on in both directions until the connection ends. */
+    suspend fun run(submit: suspend (ControllerInput) -> Unit) {
+        try {
+            coroutineScope {
+                val sender = launch { sendAll() }
+                for (message in connection.incoming) {
+                    submit(ControllerInput.Received(this@ConnectionSession, message))
+                }
+                sender.cancel()
+            }
+        } finally {
+            outgoing.close()
+            withContext(NonCancellable) {
+                submit(ControllerInput.Disconnected(this@ConnectionSession))
+            }
+        }
+    }
+
+    private suspend fun sendAll() {
+        for (message in outgoing) {
+            if (connection.send(message).isErr) return
+        }
+    }
+
+    private companion object {
+        const val MAXIMUM_WAITING = 256
+        val LOG: Logger = LoggerFactory.getLogger(ConnectionSession::class.java)
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -0,0 +1,169 @@
+package org.hibiscusproxy.daemon.controller
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import java.nio.file.Path
+import java.security.SecureRandom
+import java.util.concurrent.CompletableFuture
+import kotlin.random.asKotlinRandom
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import org.hibiscusproxy.consensus.FileLogStorage
+import org.hibiscusproxy.consensus.ReplicatedLog
+import org.hibiscusproxy.consensus.ReplicatedLogSettings
+import org.hibiscusproxy.consensus.StorageFailure
+import org.hibiscusproxy.control.ControlState
+import org.hibiscusproxy.control.LeaseSettings
+import org.hibiscusproxy.daemon.settings.ControllerAddress
+import org.hibiscusproxy.daemon.settings.ControllerSettings
+import org.hibiscusproxy.daemon.transport.FleetKey
+import org.hibiscusproxy.daemon.transport.PeerTransport
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.ControlMessage
+import org.hibiscusproxy.timeline.EventRecorder
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/**
+ * The controller role: a replica of the control state with its listeners for other processes and
+ * for operators. Closing it stops all of them; what was acknowledged is on disk.
+ */
+class Controller private constructor(
+    private val parts: ControllerParts,
+    private val storage: FileLogStorage,
+    log: ReplicatedLog,
+    state: ControlState,
+) : AutoCloseable {
+    private val settings = parts.settings
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val links = parts.controllers
+        .filter { it.name != parts.name }
+        .associate { it.name to ControllerLink(it, parts.transport) }
+    private val core = ControllerCore(
+        parts.name,
+        log,
+        state,
+        LeaseSettings(
+            duration = settings.leaseMilliseconds.milliseconds,
+            electionTimeout = settings.electionMilliseconds.milliseconds,
+        ),
+        TimeSource.Monotonic,
+        parts.recorder,
+        links.keys,
+        ::sendToController,
+    )
+    private val worker = ControllerWorker(core, TICK)
+    private val operators = OperatorServer(
+        settings.operators,
+        CallVerifier(parts.key, callAddress(settings.operators)),
+        parts.controllers.mapNotNull { c -> c.operators?.let { c.name to it } }.toMap(),
+        ::submit,
+    )
+    private var listener: AutoCloseable? = null
+
+    /** Completes with the reason if the controller stops by itself, as on a storage failure. */
+    val failure: Deferred<Throwable> get() = worker.failure
+
+    /** Address of the operators' interface. */
+    val operatorAddress: NetworkAddress get() = operators.address
+
+    private suspend fun start() {
+        worker.start(scope)
+        listener = parts.transport.listen(settings.listen) { connection ->
+            ConnectionSession(connection).run(worker::submit)
+        }
+        links.values.forEach { it.start(scope) }
+        operators.start()
+        LOG.info("controller: operators' interface at {}", operatorAddress)
+    }
+
+    override fun close() {
+        operators.close()
+        listener?.close()
+        runBlocking { worker.stop() }
+        scope.cancel()
+        worker.close()
+        storage.close()
+    }
+
+    private fun sendToController(receiver: ProcessName, message: ControlMessage) {
+        links[receiver]?.send(message)
+    }
+
+    private fun submit(request: OperatorRequest): CompletableFuture<OperatorReply> {
+        val reply = CompletableFuture<OperatorReply>()
+        if (!worker.trySubmit(ControllerInput.Operator(request, reply))) {
+            val message = "the controller is overloaded or has stopped; nothing was done"
+            reply.complete(OperatorReply.Failed(OperatorErrorType.INTERNAL, message))
+        }
+        return reply
+    }
+
+    companion object {
+        private val TICK = 20.milliseconds
+        private val WILDCARDS = setOf("0.0.0.0", "::")
+        private val LOG: Logger = LoggerFactory.getLogger(Controller::class.java)
+
+        /**
+         * Opens the data folder and starts the controller.
+         *
+         * @return [StorageFailure] when the folder is damaged or in use
+         */
+        suspend fun start(parts: ControllerParts): Result<Controller, StorageFailure> {
+            val random = SecureRandom().asKotlinRandom()
+            val folder = Path.of(parts.settings.dataFolder)
+            val identity = generateSequence { random.nextLong() }.first { it != 0L }
+            val storage = FileLogStorage.open(folder, identity).getOrElse { return Err(it) }
+            val state = ControlState()
+            val now = TimeSource.Monotonic.markNow()
+            val log = ReplicatedLog.open(logSettings(parts), storage, state, random, now)
+                .getOrElse {
+                    storage.close()
+                    return Err(it)
+                }
+            log.repair?.let { LOG.warn("controller: cut off the end of the log, {}", it) }
+            val controller = Controller(parts, storage, log, state)
+            try {
+                controller.start()
+            } catch (thrown: Exception) {
+                controller.close()
+                throw thrown
+            }
+            return Ok(controller)
+        }
+
+        private fun logSettings(parts: ControllerParts) = ReplicatedLogSettings(
+            name = parts.name,
+            bootstrap = parts.controllers.map { it.name },
+            heartbeatInterval = parts.settings.heartbeatMilliseconds.milliseconds,
+            electionTimeout = parts.settings.electionMilliseconds.milliseconds,
+            snapshotEntries = parts.settings.snapshotEntries,
+        )
+
+        private fun callAddress(listen: NetworkAddress): String? =
+            if (listen.host in WILDCARDS || listen.port == 0) null else listen.toString()
+    }
+}
+
+/**
+ * What a controller is made of.
+ *
+ * @property controllers all controllers of the fleet, this one included
+ */
+class ControllerParts(
+    val name: ProcessName,
+    val settings: ControllerSettings,
+    val controllers: List<ControllerAddress>,
+    val transport: PeerTransport,
+    val key: FleetKey,
+    val recorder: EventRecorder,
+)
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -0,0 +1,175 @@
+package org.hibiscusproxy.daemon.controller
+
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import org.hibiscusproxy.consensus.ConsensusOutput
+import org.hibiscusproxy.consensus.ConsensusRole
+import org.hibiscusproxy.consensus.ReplicatedLog
+import org.hibiscusproxy.control.ControlState
+import org.hibiscusproxy.control.Expire
+import org.hibiscusproxy.control.LeaseSettings
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.ClaimCompletion
+import org.hibiscusproxy.protocol.ClaimRelease
+import org.hibiscusproxy.protocol.ClaimRequest
+import org.hibiscusproxy.protocol.ConfigurationRequest
+import org.hibiscusproxy.protocol.ConsensusEnvelope
+import org.hibiscusproxy.protocol.ControlMessage
+import org.hibiscusproxy.protocol.CrashReport
+import org.hibiscusproxy.protocol.LeaseAcknowledgement
+import org.hibiscusproxy.protocol.LeaseRequest
+import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.timeline.EventRecorder
+import org.hibiscusproxy.timeline.FleetEvent
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/**
+ * What a controller does with its inputs: it owns one replica of the log, the control state and,
+ * while it leads, the leases. One worker calls it; [handle] takes any number of inputs, and [turn]
+ * makes them durable with one flush and sends what follows.
+ */
+internal class ControllerCore(
+    private val name: ProcessName,
+    private val log: ReplicatedLog,
+    private val state: ControlState,
+    settings: LeaseSettings,
+    private val time: TimeSource.WithComparableMarks,
+    private val recorder: EventRecorder,
+    private val controllers: Set<ProcessName>,
+    private val sendToController: (ProcessName, ControlMessage) -> Unit,
+) {
+    private val proposals = Proposals(log, time)
+    private val leadership = Leadership(log, state, settings, time)
+    private val leases = LeaseService(log, state, leadership, proposals, time)
+    private val claims = ClaimService(log, leadership, proposals, time)
+    private val subscriptions = Subscriptions(state)
+    private val operators = OperatorService(
+        name,
+        log,
+        state,
+        leadership,
+        proposals,
+        subscriptions,
+        recorder,
+        time,
+    )
+    private var announcedVersion = 0L
+    private var isExpiryProposed = false
+    private var prunedAt = time.markNow()
+
+    /** Takes one input. */
+    fun handle(input: ControllerInput) {
+        when (input) {
+            is ControllerInput.Received -> receive(input.session, input.message)
+
+            is ControllerInput.Disconnected -> {
+                leases.disconnected(input.session)
+                subscriptions.disconnected(input.session)
+            }
+
+            is ControllerInput.Tick -> Unit
+
+            is ControllerInput.Operator -> operators.handle(input.request, input.reply)
+        }
+    }
+
+    /** Lets time pass, writes and syncs what was taken, and sends what follows from it. */
+    fun turn() {
+        log.tick(time.markNow())
+        proposeExpiry()
+        log.flush(time.markNow()).forEach(::act)
+        announce()
+        operators.advance()
+        prune(time.markNow())
+    }
+
+    private fun receive(session: PeerSession, message: PeerMessage) {
+        when (message) {
+            is ConsensusEnvelope -> receiveConsensus(session.remote.process, message)
+            is LeaseRequest -> leases.request(session, message)
+            is LeaseAcknowledgement -> leases.acknowledge(session, message)
+            is ConfigurationRequest -> subscriptions.subscribe(session, message)
+            is ClaimRequest -> claims.claim(session, message)
+            is ClaimRelease -> claims.release(session, message)
+            is ClaimCompletion -> claims.complete(session, message)
+            is CrashReport -> crashed(message)
+            else -> LOG.warn("controller: unexpected {}", message::class.simpleName)
+        }
+    }
+
+    private fun receiveConsensus(sender: ProcessName, envelope: ConsensusEnvelope) {
+        if (sender in controllers) {
+            log.receive(sender, envelope.content, time.markNow())
+        } else {
+            LOG.warn("controller: log message from {}, which is no controller", sender)
+        }
+    }
+
+    private fun crashed(report: CrashReport) {
+        if (claims.crashed(report)) return
+        val leader = log.leader ?: return
+        if (leader != name) sendToController(leader, report)
+    }
+
+    private fun act(output: ConsensusOutput) {
+        when (output) {
+            is ConsensusOutput.Send ->
+                sendToController(output.receiver, ConsensusEnvelope(output.message))
+
+            is ConsensusOutput.Applied -> proposals.applied(output)
+
+            is ConsensusOutput.LeadershipChanged -> leadershipChanged(output)
+
+            is ConsensusOutput.SnapshotInstalled ->
+                LOG.info("controller: installed a snapshot up to {}", output.index)
+        }
+    }
+
+    private fun leadershipChanged(output: ConsensusOutput.LeadershipChanged) {
+        val term = output.term
+        LOG.info("controller: {} in term {}, leader {}", output.role, term, output.leader)
+        leadership.changed(output.role, term)
+        val isLeader = output.role == ConsensusRole.LEADER
+        proposals.leadershipChanged(term.takeIf { isLeader })
+        isExpiryProposed = false
+        operators.leadershipChanged()
+        if (isLeader) {
+            recorder.record(FleetEvent.LeaderElected(name, term))
+        }
+    }
+
+    private fun announce() {
+        val version = state.fleet.version
+        if (version != announcedVersion) {
+            announcedVersion = version
+            leases.announce(version)
+            subscriptions.pushState()
+        }
+        val leader = leadership.active()
+        subscriptions.pushCrashes(leader?.fleetTime(time.markNow()) ?: state.clock)
+    }
+
+    /** Also moves the fleet clock now and then, so that a new leader continues from near it. */
+    private fun proposeExpiry() {
+        val leader = leadership.active() ?: return
+        val next = state.nextExpiry ?: return
+        val now = leader.fleetTime(time.markNow())
+        if (isExpiryProposed || now < next && now < state.clock + CLOCK_INTERVAL) return
+        isExpiryProposed = true
+        proposals.propose(Expire(now)) { isExpiryProposed = false }
+    }
+
+    private fun prune(now: ComparableTimeMark) {
+        if (now - prunedAt < PRUNE_INTERVAL) return
+        prunedAt = now
+        leadership.active()?.granter?.prune(now)
+    }
+
+    private companion object {
+        val CLOCK_INTERVAL = 30.seconds
+        val PRUNE_INTERVAL = 1.seconds
+        val LOG: Logger = LoggerFactory.getLogger(ControllerCore::class.java)
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerInput.kt
@@ -0,0 +1,20 @@
+package org.hibiscusproxy.daemon.controller
+
+import java.util.concurrent.CompletableFuture
+import org.hibiscusproxy.protocol.PeerMessage
+
+/** Something that the controller's worker acts on, in the order of arrival. */
+internal sealed class ControllerInput {
+    /** [message] arrived from the process of [session]. */
+    class Received(val session: PeerSession, val message: PeerMessage) : ControllerInput()
+
+    /** The connection of [session] ended. */
+    class Disconnected(val session: PeerSession) : ControllerInput()
+
+    /** Time has passed. */
+    data object Tick : ControllerInput()
+
+    /** An operator's call, answered by completing [reply]. */
+    class Operator(val request: OperatorRequest, val reply: CompletableFuture<OperatorReply>) :
+        ControllerInput()
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorMessages.kt
@@ -0,0 +1,149 @@
+package org.hibiscusproxy.daemon.controller
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.hibiscusproxy.control.ChangeIdentifier
+import org.hibiscusproxy.control.ChangeOutcome
+import org.hibiscusproxy.model.FleetObjects
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.TargetName
+
+/** JSON form of the operators' interface, on both sides. */
+object OperatorJson {
+    /** Format of all bodies. */
+    val format: Json = Json {
+        encodeDefaults = true
+        explicitNulls = false
+    }
+}
+
+/** Body of `POST /objects`. */
+@Serializable
+data class PublishBody(val change: ChangeIdentifier, val basedOn: Long, val objects: FleetObjects)
+
+/** Body of `POST /data-centers/{name}/{in|out}` and `POST /targets/{name}/{in|out}`. */
+@Serializable
+data class StateBody(val change: ChangeIdentifier, val basedOn: Long? = null)
+
+/** Body of `POST /members`. */
+@Serializable
+data class MemberBody(
+    val action: MemberAction,
+    val process: ProcessName,
+    val identity: Long? = null,
+)
+
+/** What to do with a member. */
+@Serializable
+enum class MemberAction {
+    /** Add a process that does not vote yet; needs its identity. */
+    @SerialName("add")
+    ADD,
+
+    /** Make a member that has caught up a voter. */
+    @SerialName("promote")
+    PROMOTE,
+
+    /** Remove a member. */
+    @SerialName("remove")
+    REMOVE,
+}
+
+/** Answer to a change, and to `GET /changes/{id}`. */
+@Serializable
+data class ChangeReport(
+    val change: ChangeIdentifier,
+    val outcome: ChangeOutcome,
+    val progress: ProgressReport? = null,
+)
+
+/**
+ * Where a version is in force.
+ *
+ * @property isInForce whether no sidecar can act on an earlier version
+ * @property sinceMilliseconds time since the leader knows that it is in force
+ * @property withinMilliseconds time after which it is in force at the latest
+ * @property unconfirmedTargets targets that may still act on an earlier version
+ * @property unconfirmedProcesses other processes that have not confirmed it; nothing depends on
+ *   them, as sidecars decide what runs
+ */
+@Serializable
+data class ProgressReport(
+    val version: Long,
+    val isInForce: Boolean,
+    val sinceMilliseconds: Long? = null,
+    val withinMilliseconds: Long? = null,
+    val unconfirmedTargets: List<UnconfirmedReport> = emptyList(),
+    val unconfirmedProcesses: List<ProcessName> = emptyList(),
+)
+
+/** A target that acts on the version after [withinMilliseconds] at the latest. */
+@Serializable
+data class UnconfirmedReport(val target: TargetName, val withinMilliseconds: Long)
+
+/** Answer to `GET /status`. */
+@Serializable
+data class StatusReport(
+    val name: ProcessName,
+    val role: String,
+    val term: Long,
+    val leader: ProcessName? = null,
+    val version: Long,
+    val commitIndex: Long,
+    val appliedIndex: Long,
+    val claims: Int,
+    val leases: Int? = null,
+    val members: List<MemberReport>,
+    val strangers: List<StrangerReport>,
+)
+
+/** A member of the log's cluster. */
+@Serializable
+data class MemberReport(val process: ProcessName, val identity: Long, val isVoter: Boolean)
+
+/** A process that introduced itself and is no member; it can be added with this identity. */
+@Serializable
+data class StrangerReport(val process: ProcessName, val identity: Long)
+
+/** Body of every answer that is an error. */
+@Serializable
+data class OperatorError(
+    val type: OperatorErrorType,
+    val message: String,
+    val leader: ProcessName? = null,
+    val leaderAddress: NetworkAddress? = null,
+)
+
+/** Kinds of errors of the operators' interface. */
+@Serializable
+enum class OperatorErrorType(val status: Int) {
+    /** The call is not signed with the fleet key, is too old, or was received before. */
+    @SerialName("not-authenticated")
+    NOT_AUTHENTICATED(401),
+
+    /** The call is malformed. */
+    @SerialName("bad-request")
+    BAD_REQUEST(400),
+
+    /** There is no such change or path. */
+    @SerialName("not-found")
+    NOT_FOUND(404),
+
+    /** Another controller leads. Nothing was done. */
+    @SerialName("not-leader")
+    NOT_LEADER(421),
+
+    /** The change of members was refused. */
+    @SerialName("membership-refused")
+    MEMBERSHIP_REFUSED(409),
+
+    /** The leader changed; the change may be accepted or not. Send it again unchanged. */
+    @SerialName("outcome-unknown")
+    OUTCOME_UNKNOWN(504),
+
+    /** A fault of the controller. */
+    @SerialName("internal")
+    INTERNAL(500),
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorRequest.kt
@@ -0,0 +1,47 @@
+package org.hibiscusproxy.daemon.controller
+
+import kotlin.time.Duration
+import org.hibiscusproxy.consensus.MembershipChange
+import org.hibiscusproxy.control.ChangeCommand
+import org.hibiscusproxy.control.ChangeIdentifier
+import org.hibiscusproxy.control.FleetInstant
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.ProcessName
+
+/** An operator's call as the worker takes it. */
+internal sealed class OperatorRequest {
+    /** Make the change that [build] returns and wait up to [wait] until it is in force. */
+    class Change(val wait: Duration, val build: (FleetInstant) -> ChangeCommand) :
+        OperatorRequest()
+
+    /** Return the fleet's state. */
+    data object ReadState : OperatorRequest()
+
+    /** Return the outcome of [change], and wait up to [wait] until it is in force. */
+    class ReadChange(val change: ChangeIdentifier, val wait: Duration) : OperatorRequest()
+
+    /** Return this replica's status. */
+    data object ReadStatus : OperatorRequest()
+
+    /** Change the members of the log's cluster. */
+    class ChangeMembers(val change: MembershipChange) : OperatorRequest()
+}
+
+/** Answer to an [OperatorRequest]. */
+internal sealed class OperatorReply {
+    /** Outcome of a change. */
+    class Change(val report: ChangeReport) : OperatorReply()
+
+    /** The fleet's state. */
+    class State(val fleet: FleetState) : OperatorReply()
+
+    /** This replica's status. */
+    class Status(val report: StatusReport) : OperatorReply()
+
+    /** Not done, or not known whether done. */
+    class Failed(
+        val type: OperatorErrorType,
+        val message: String,
+        val leader: ProcessName? = null,
+    ) : OperatorReply()
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
@@ -0,0 +1,212 @@
+package org.hibiscusproxy.daemon.controller
+
+import io.javalin.Javalin
+import io.javalin.config.JavalinConfig
+import io.javalin.http.Context
+import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.hibiscusproxy.consensus.MembershipChange
+import org.hibiscusproxy.control.ChangeCommand
+import org.hibiscusproxy.control.ChangeIdentifier
+import org.hibiscusproxy.control.ChangeOutcome
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.OperationalState
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.TargetName
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/**
+ * The operators' interface over HTTP. Every call is signed with the fleet key; calls are passed to
+ * the worker, which answers them without blocking a thread here.
+ */
+internal class OperatorServer(
+    private val listen: NetworkAddress,
+    private val verifier: CallVerifier,
+    private val leaderAddresses: Map<ProcessName, NetworkAddress>,
+    private val submit: (OperatorRequest) -> CompletableFuture<OperatorReply>,
+) : AutoCloseable {
+    private val server = Javalin.create(::configure)
+
+    /** Address in use. */
+    val address: NetworkAddress get() = NetworkAddress(listen.host, server.port())
+
+    fun start() {
+        server.start(listen.host, listen.port)
+    }
+
+    override fun close() {
+        server.stop()
+    }
+
+    private fun configure(config: JavalinConfig) {
+        config.startup.showJavalinBanner = false
+        config.http.maxRequestSize = MAXIMUM_BODY_BYTES
+        config.jetty.threadPool = QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS)
+        val routes = config.routes
+        routes.before(::authenticate)
+        routes.post("/objects", ::publish)
+        routes.get("/state") { answer(it, OperatorRequest.ReadState) }
+        routes.post("/data-centers/{name}/{state}", ::setDataCenter)
+        routes.post("/targets/{name}/{state}", ::setTarget)
+        routes.get("/changes/{change}", ::readChange)
+        routes.get("/status") { answer(it, OperatorRequest.ReadStatus) }
+        routes.post("/members", ::changeMembers)
+        routes.exception(OperatorCallException::class.java) { failure, context ->
+            write(context, OperatorError(failure.type, failure.message.orEmpty()))
+        }
+        routes.exception(Exception::class.java) { failure, context ->
+            LOG.error("controller: call {} {} failed", context.method(), context.path(), failure)
+            write(context, OperatorError(OperatorErrorType.INTERNAL, "internal error"))
+        }
+        routes.error(NOT_FOUND) { context ->
+            val isWritten = context.result()?.startsWith("{") ?: false
+            if (!isWritten) {
+                write(context, OperatorError(OperatorErrorType.NOT_FOUND, "no such path"))
+            }
+        }
+    }
+
+    private fun authenticate(context: Context) {
+        val query = context.queryString()?.let { "?$it" }.orEmpty()
+        val call = SignedCall(
+            context.method().name,
+            context.req().requestURI + query,
+            context.header(SignedCall.TIME_HEADER)?.toLongOrNull() ?: 0,
+            context.header(SignedCall.NONCE_HEADER).orEmpty(),
+            context.header("Host").orEmpty(),
+        )
+        val signature = context.header(SignedCall.SIGNATURE_HEADER).orEmpty()
+        val refusal = verifier.refusalOf(call, signature, context.bodyAsBytes()) ?: return
+        LOG.warn("controller: call from {} refused: {}", context.ip(), refusal.message)
+        throw OperatorCallException(OperatorErrorType.NOT_AUTHENTICATED, refusal.message)
+    }
+
+    private fun publish(context: Context) {
+        val body = body(context, PublishBody.serializer())
+        val request = OperatorRequest.Change(wait(context)) { at ->
+            ChangeCommand.PublishObjects(body.change, body.basedOn, body.objects, at)
+        }
+        answer(context, request)
+    }
+
+    private fun setDataCenter(context: Context) {
+        val body = body(context, StateBody.serializer())
+        val name = DataCenterName(context.pathParam("name"))
+        val state = state(context)
+        val request = OperatorRequest.Change(wait(context)) { at ->
+            ChangeCommand.SetDataCenterState(body.change, name, state, at, body.basedOn)
+        }
+        answer(context, request)
+    }
+
+    private fun setTarget(context: Context) {
+        val body = body(context, StateBody.serializer())
+        val name = TargetName(context.pathParam("name"))
+        val state = state(context)
+        val request = OperatorRequest.Change(wait(context)) { at ->
+            ChangeCommand.SetTargetState(body.change, name, state, at, basedOn = body.basedOn)
+        }
+        answer(context, request)
+    }
+
+    private fun readChange(context: Context) {
+        val change = ChangeIdentifier(context.pathParam("change"))
+        answer(context, OperatorRequest.ReadChange(change, wait(context)))
+    }
+
+    private fun changeMembers(context: Context) {
+        val body = body(context, MemberBody.serializer())
+        val change = when (body.action) {
+            MemberAction.ADD -> {
+                val identity = body.identity ?: throw badRequest("identity is missing")
+                MembershipChange.AddNonVoter(body.process, identity)
+            }
+
+            MemberAction.PROMOTE -> MembershipChange.Promote(body.process)
+            MemberAction.REMOVE -> MembershipChange.Remove(body.process)
+        }
+        answer(context, OperatorRequest.ChangeMembers(change))
+    }
+
+    private fun answer(context: Context, request: OperatorRequest) {
+        context.future { submit(request).thenAccept { write(context, it) } }
+    }
+
+    private fun write(context: Context, reply: OperatorReply) {
+        when (reply) {
+            is OperatorReply.Change -> {
+                context.status(statusOf(reply.report.outcome))
+                write(context, ChangeReport.serializer(), reply.report)
+            }
+
+            is OperatorReply.State -> write(context, FleetState.serializer(), reply.fleet)
+            is OperatorReply.Status -> write(context, StatusReport.serializer(), reply.report)
+            is OperatorReply.Failed -> {
+                val address = reply.leader?.let { leaderAddresses[it] }
+                write(context, OperatorError(reply.type, reply.message, reply.leader, address))
+            }
+        }
+    }
+
+    private fun write(context: Context, error: OperatorError) {
+        context.status(error.type.status)
+        write(context, OperatorError.serializer(), error)
+    }
+
+    private fun <T> write(context: Context, serializer: KSerializer<T>, value: T) {
+        context.contentType("application/json")
+        context.result(OperatorJson.format.encodeToString(serializer, value))
+    }
+
+    private fun statusOf(outcome: ChangeOutcome): Int = when (outcome) {
+        is ChangeOutcome.Accepted -> 200
+        is ChangeOutcome.Conflict, is ChangeOutcome.IdentifierReused -> 409
+        is ChangeOutcome.Invalid -> 422
+        is ChangeOutcome.UnknownObject -> 404
+    }
+
+    private fun <T> body(context: Context, serializer: KSerializer<T>): T = try {
+        OperatorJson.format.decodeFromString(serializer, context.body())
+    } catch (failure: SerializationException) {
+        throw badRequest(failure.message.orEmpty())
+    } catch (failure: IllegalArgumentException) {
+        throw badRequest(failure.message.orEmpty())
+    }
+
+    private fun state(context: Context): OperationalState =
+        when (val text = context.pathParam("state")) {
+            "in" -> OperationalState.IN
+            "out" -> OperationalState.OUT
+            else -> throw badRequest("state must be in or out: $text")
+        }
+
+    private fun wait(context: Context): Duration {
+        val text = context.queryParam("wait") ?: return Duration.ZERO
+        val seconds = text.toDoubleOrNull()?.takeIf { it in 0.0..MAXIMUM_WAIT_SECONDS }
+            ?: throw badRequest("wait must be in 0..$MAXIMUM_WAIT_SECONDS seconds: $text")
+        return seconds.seconds
+    }
+
+    private fun badRequest(message: String) =
+        OperatorCallException(OperatorErrorType.BAD_REQUEST, message)
+
+    private companion object {
+        const val MAXIMUM_BODY_BYTES = 8L * 1024 * 1024
+        const val MAXIMUM_WAIT_SECONDS = 60.0
+        const val MAXIMUM_THREADS = 16
+        const val MINIMUM_THREADS = 4
+        const val NOT_FOUND = 404
+        val LOG: Logger = LoggerFactory.getLogger(OperatorServer::class.java)
+    }
+}
+
+/** Ends the handling of a call with a typed error. */
+private class OperatorCallException(val type: OperatorErrorType, message: String) :
+    RuntimeException(message)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -43,9 +43,18 @@
     JSON,
 }
 
-/** Name and peer address of one controller. */
+/**
+ * Name and peer address of one controller.
+ *
+ * @property operators address of its operators' interface, told to operators who called another
+ *   controller than the leader; not told when null
+ */
 @Serializable
-data class ControllerAddress(val name: ProcessName, val address: NetworkAddress)
+data class ControllerAddress(
+    val name: ProcessName,
+    val address: NetworkAddress,
+    val operators: NetworkAddress? = null,
+)
 
 /** Settings of the entry role. */
 @Serializable
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
@@ -91,12 +91,10 @@
     ) : ChangeCommand() {
         override fun content(): ChangeCommand = copy(change = NO_CHANGE, at = FleetInstant.ZERO)
     }
-
-    private companion object {
-        val NO_CHANGE = ChangeIdentifier("")
-    }
 }
 
+private val NO_CHANGE = ChangeIdentifier("")
+
 /** Who asked for a target's state. */
 @Serializable
 enum class StateSource {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/PeerMessage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/PeerMessage.kt
@@ -233,12 +233,19 @@
     @SerialName("s") val answer: StoredAnswer,
 ) : ControlMessage()
 
-/** A claim release or completion with the same number is durable, or was refused as [accepted] false. */
+/**
+ * A claim release or completion with the same number is durable, or was refused as [accepted] false.
+ *
+ * @property refusal set when this controller could not decide; the message is to be sent again, to
+ *   [leader] if that is known
+ */
 @Serializable
 @SerialName("kk")
 data class ClaimAcknowledgement(
     @SerialName("n") val number: Long,
     @SerialName("a") val accepted: Boolean,
+    @SerialName("r") val refusal: ControlRefusal? = null,
+    @SerialName("l") val leader: ProcessName? = null,
 ) : ControlMessage()
 
 /** A target crashed with these requests in flight. */
