Merge the data path and the controller; the whole path runs as separate processes

Change: run starts entry, sidecar and controller roles; the claim outcomes and the refusal that arrived with the control state are handled in the entry.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
@@ -2,13 +2,30 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import org.hibiscusproxy.daemon.command.ApplyCommand
+import org.hibiscusproxy.daemon.command.CheckCommand
+import org.hibiscusproxy.daemon.command.DataCenterCommand
+import org.hibiscusproxy.daemon.command.GetCommand
+import org.hibiscusproxy.daemon.command.InstanceCommand
+import org.hibiscusproxy.daemon.command.RunCommand
 import org.hibiscusproxy.daemon.command.SettingsPageCommand
+import org.hibiscusproxy.daemon.command.StatusCommand
 import org.hibiscusproxy.daemon.command.TimelineCommand
 
 /** Starts the command line of hibiscusproxy. */
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
-    val parser = ArgParser("hibiscusproxy")
-    parser.subcommands(TimelineCommand(), SettingsPageCommand())
+    val parser = ArgParser("hibiscusproxy", strictSubcommandOptionsOrder = true)
+    parser.subcommands(
+        RunCommand(),
+        CheckCommand(),
+        ApplyCommand(),
+        GetCommand(),
+        DataCenterCommand(),
+        InstanceCommand(),
+        StatusCommand(),
+        TimelineCommand(),
+        SettingsPageCommand(),
+    )
     parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -61,5 +61,4 @@
     private companion object {
         val logger = LoggerFactory.getLogger(RunCommand::class.java)
     }
-
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerFailure.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerFailure.kt
@@ -109,6 +109,20 @@
             mayHaveRun = true,
         )
 
+        fun answerNotStored(status: Int, bytes: Int) = CallerFailure(
+            409,
+            "answer-not-stored",
+            "the request ran with status $status; its answer of $bytes bytes was not kept",
+            mayHaveRun = true,
+        )
+
+        fun attemptRefused() = CallerFailure(
+            409,
+            "attempt-refused",
+            "this Idempotency-Key has used up its attempts",
+            mayHaveRun = true,
+        )
+
         fun contentMismatch() = CallerFailure(
             422,
             "content-mismatch",
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
@@ -144,6 +144,11 @@
 
             ClaimOutcome.ContentMismatch -> failed(CallerFailure.contentMismatch())
 
+            is ClaimOutcome.AnswerNotStored ->
+                failed(CallerFailure.answerNotStored(outcome.status, outcome.bytes))
+
+            is ClaimOutcome.AttemptRefused -> failed(CallerFailure.attemptRefused())
+
             is ClaimOutcome.Refused, null -> failed(CallerFailure.noController())
         }
 
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioOperator.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioOperator.kt
@@ -18,10 +18,8 @@
 import org.hibiscusproxy.model.NetworkAddress
 
 /** An operator of a fleet under test, who speaks to the controllers' own interface. */
-class ScenarioOperator(
-    keyFile: Path,
-    private val controllers: List<NetworkAddress>,
-) : AutoCloseable {
+class ScenarioOperator(keyFile: Path, private val controllers: List<NetworkAddress>) :
+    AutoCloseable {
     private val key = FleetKey.read(keyFile).getOrElse { error("$it") }
     private val client = OperatorClient(controllers, key, PATIENCE)
     private var changes = 0
@@ -52,15 +50,14 @@
 
     override fun close() = client.close()
 
-    private fun publish(client: OperatorClient, objects: FleetObjects, basedOn: Long) =
-        post(
-            client,
-            "/objects",
-            OperatorJson.format.encodeToString(
-                PublishBody.serializer(),
-                PublishBody(nextChange(), basedOn, objects),
-            ),
-        )
+    private fun publish(client: OperatorClient, objects: FleetObjects, basedOn: Long) = post(
+        client,
+        "/objects",
+        OperatorJson.format.encodeToString(
+            PublishBody.serializer(),
+            PublishBody(nextChange(), basedOn, objects),
+        ),
+    )
 
     private fun post(client: OperatorClient, path: String, body: String): ChangeReport {
         val wait = EFFECTIVE_WAIT.inWholeSeconds
