Poll the load of engines only and name the target in each answer

Ruled out: new work under an old lease, since the engines of the data centre began none. Change: only sidecars of chat services poll.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
@@ -26,8 +26,10 @@
 import org.hibiscusproxy.daemon.transport.KtorPeerTransport
 import org.hibiscusproxy.daemon.transport.PeerConnection
 import org.hibiscusproxy.daemon.transport.PeerListener
+import org.hibiscusproxy.model.FleetObjects
 import org.hibiscusproxy.model.FleetState
 import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.ServiceKind
 import org.hibiscusproxy.protocol.Attempt
 import org.hibiscusproxy.protocol.BrokenReason
 import org.hibiscusproxy.protocol.Cancel
@@ -70,7 +72,7 @@
     )
     private val isDraining = AtomicBoolean()
     private val table = AttemptTable(admission, TableActions())
-    private val calls = TargetCalls(settings.targetUrl, table::confirm, ::firstByte)
+    private val calls = TargetCalls(target, settings.targetUrl, table::confirm, ::firstByte)
     private val loads = LoadPoller(calls)
     private val link = ControllerLink(
         "sidecar",
@@ -90,6 +92,10 @@
     @Volatile
     private var stateVersion = 0L
 
+    /** Only engines report their load; on a plain service the path may mean anything. */
+    @Volatile
+    private var hasLoadReport = false
+
     override val isReady: Boolean get() = lease.isHeld && !isDraining.get()
 
     /** Where entries reach the sidecar; known after [start]. */
@@ -172,6 +178,7 @@
     private suspend fun configure(state: FleetState) {
         if (state.version <= stateVersion) return
         stateVersion = state.version
+        hasLoadReport = state.objects.hasLoadReport()
         table.update {
             configure(state)
             advance()
@@ -179,6 +186,11 @@
         lease.configured(state)
     }
 
+    private fun FleetObjects.hasLoadReport(): Boolean {
+        val service = targets.find { it.name == target }?.service
+        return services.any { it.name == service && it.kind is ServiceKind.Chat }
+    }
+
     private suspend fun tick() {
         while (scope.isActive) {
             delay(TICK)
@@ -189,10 +201,12 @@
 
     private suspend fun pollLoad() {
         while (scope.isActive) {
-            loads.poll()?.let { report ->
-                table.update {
-                    targetReported(report)
-                    emptyList()
+            if (hasLoadReport) {
+                loads.poll()?.let { report ->
+                    table.update {
+                        targetReported(report)
+                        emptyList()
+                    }
                 }
             }
             delay(LOAD_INTERVAL)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
@@ -19,6 +19,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import okhttp3.ResponseBody
+import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.Header
 import org.hibiscusproxy.protocol.NotRunReason
 import org.hibiscusproxy.protocol.Payload
@@ -50,10 +51,12 @@
  * @param firstByte called when the first byte of the answer's body arrived
  */
 internal class TargetCalls(
+    target: TargetName,
     targetUrl: String,
     private val confirm: (SidecarAttempt) -> NotRunReason?,
     private val firstByte: (SidecarAttempt) -> Unit,
 ) : AutoCloseable {
+    private val targetHeader = Header(TARGET_HEADER, target.value)
     private val base = targetUrl.trimEnd('/').also { it.toHttpUrl() }
     private val threadNumbers = AtomicInteger()
     private val threads = ThreadPoolExecutor(
@@ -177,7 +180,8 @@
     }
 
     private fun relay(attempt: SidecarAttempt, response: Response): CallEnd {
-        val head = ResponseHead(attempt.attempt, response.code, response.endToEndHeaders())
+        val headers = response.endToEndHeaders() + targetHeader
+        val head = ResponseHead(attempt.attempt, response.code, headers)
         if (!runBlocking { attempt.connection.send(head) }.isOk) return CallEnd.EntryLost
         return relayBody(attempt, response.body)
     }
@@ -199,6 +203,8 @@
         .map { (name, value) -> Header(name, value) }
 
     private companion object {
+        /** Tells callers which target answered, for support questions and measurements. */
+        const val TARGET_HEADER = "X-Hibiscus-Target"
         const val MAXIMUM_CALLS = 512
         const val IDLE_THREAD_SECONDS = 10L
         const val STACK_BYTES = 262_144L
