Name the request in cache events and forget connections given up in a cut

A sidecar can't know how an engine names its cache blocks, so an event now carries the request that stored them, and each page the engine's last start, because sequence numbers begin again there. A run of the fault proxy as its own process showed 12 requests running at the engine after a cut had ended, although their callers had given up during it: TCP would never have completed these handshakes, so such connections are dropped now. Holding them but discarding their bytes was ruled out, since it would show the target empty connections. Wrong options end with code 2 and one line instead of a trace.

--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/Main.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/Main.kt
@@ -1,5 +1,8 @@
 package org.hibiscusproxy.standins
 
+import io.javalin.util.JavalinException
+import java.io.IOException
+import kotlin.system.exitProcess
 import kotlinx.cli.ArgParser
 import org.hibiscusproxy.standins.engine.EngineCommand
 import org.hibiscusproxy.standins.faults.FaultProxyCommand
@@ -19,5 +22,21 @@
         FaultProxyCommand(),
         LoadCommand(),
     )
-    parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
+    try {
+        parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
+    } catch (failure: IllegalArgumentException) {
+        fail(failure.message, WRONG_USAGE_EXIT_CODE)
+    } catch (failure: JavalinException) {
+        fail(failure.cause?.message ?: failure.message, FAILURE_EXIT_CODE)
+    } catch (failure: IOException) {
+        fail(failure.message, FAILURE_EXIT_CODE)
+    }
 }
+
+private fun fail(message: String?, exitCode: Int) {
+    System.err.println("hibiscusproxy-standins: $message")
+    exitProcess(exitCode)
+}
+
+private const val FAILURE_EXIT_CODE = 1
+private const val WRONG_USAGE_EXIT_CODE = 2
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/EngineReports.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/EngineReports.kt
@@ -11,6 +11,7 @@
     val slots: Int,
     val cold: Boolean,
     val cachedBlocks: Int,
+    val lastStartMilliseconds: Long,
 )
 
 /** Answer to `GET /stats`, exact at the time of the call. */
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/PrefixCache.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/PrefixCache.kt
@@ -23,8 +23,12 @@
     /** Whether the block named [block] is held, without marking it as used. */
     operator fun contains(block: Long): Boolean = block in blocks
 
-    /** Stores the chain [chain] and removes the blocks used longest ago if room is needed. */
-    fun store(chain: LongArray) {
+    /**
+     * Stores the chain [chain] and removes the blocks used longest ago if room is needed.
+     *
+     * @param requestId request whose tokens they are, null for an import
+     */
+    fun store(chain: LongArray, requestId: String?) {
         val kept = minOf(chain.size, capacity)
         val added = (0 until kept).map { chain[it] }.filter { it !in blocks }
         added.forEach { blocks[it] = Unit }
@@ -33,7 +37,7 @@
         val oldest = blocks.keys.iterator()
         while (blocks.size - removed.size > capacity) removed += oldest.next()
         removed.forEach(blocks::remove)
-        if (added.isNotEmpty()) observer.stored(added)
+        if (added.isNotEmpty()) observer.stored(added, requestId)
         if (removed.isNotEmpty()) observer.removed(removed)
     }
 
@@ -51,8 +55,8 @@
 
 /** Learns of changes of a [PrefixCache]. */
 interface CacheObserver {
-    /** [blocks] were added, in chain order. */
-    fun stored(blocks: List<Long>)
+    /** [blocks] were added, in chain order, by the request [requestId] or by an import. */
+    fun stored(blocks: List<Long>, requestId: String?)
 
     /** [blocks] were removed to make room. */
     fun removed(blocks: List<Long>)
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/faults/ProxyLane.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/faults/ProxyLane.kt
@@ -25,7 +25,9 @@
     private var passed = 0L
     private var vanished = 0L
 
-    private var hasEnded = false
+    /** Whether the source has closed its side. */
+    var hasEnded: Boolean = false
+        private set
 
     private var endWasPassedOn = false
 
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/faults/ProxyLink.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/faults/ProxyLink.kt
@@ -11,7 +11,8 @@
 
 /**
  * One proxied connection. While a direction is cut, a new connection is accepted but the target
- * sees nothing of it until the cut ends. Confined to the proxy's thread.
+ * sees nothing of it until the cut ends, and never does if the connecting side gives up before.
+ * Confined to the proxy's thread.
  */
 internal class ProxyLink(
     private val client: SocketChannel,
@@ -59,6 +60,7 @@
             backward.write(now)
         }
         if (forward.isDone && backward.isDone) close()
+        if (forward.hasEnded && !hasStartedConnecting) close()
         if (!isClosed) updateInterest()
     }
 
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/service/ServiceServer.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/service/ServiceServer.kt
@@ -120,6 +120,8 @@
                 config.routes.put("/*", service::serve)
                 config.routes.patch("/*", service::serve)
                 config.routes.delete("/*", service::serve)
+                config.routes.head("/*", service::serve)
+                config.routes.options("/*", service::serve)
             }
             return service
         }
