Make a new data folder durable and tighten the contact test

A new data folder could vanish in a power cut, because the folders above it were not synced; the replica would then come back under a new identity, which is safe but costs a voter. The folders created are now synced from their parents. A trial change that counted majority contact from the arrival of an answer passed the message test, since no tick came between heartbeat and answer; the test now ticks in between.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
@@ -224,7 +224,7 @@
             segmentBytes: Long = DEFAULT_SEGMENT_BYTES,
         ): Result<FileLogStorage, StorageFailure> = storing("opening $folder") {
             require(newIdentity != NO_IDENTITY) { "newIdentity: $newIdentity" }
-            Files.createDirectories(folder)
+            createDurably(folder.toAbsolutePath())
             val lock = FolderLock.acquire(folder) ?: fail(StorageFailure.FolderLocked(folder))
             try {
                 FileLogStorage(folder, lock, openHardState(folder, newIdentity), segmentBytes)
@@ -234,6 +234,12 @@
             }
         }
 
+        private fun createDurably(folder: Path) {
+            val missing = generateSequence(folder) { it.parent }.takeWhile { !it.exists() }.toList()
+            Files.createDirectories(folder)
+            missing.forEach { syncFolder(it.parent) }
+        }
+
         private fun openHardState(folder: Path, newIdentity: Long): HardState {
             val file = folder.resolve(HARD_STATE_FILE)
             if (file.exists()) return readHardState(file)
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
@@ -150,6 +150,7 @@
             log.tick(time.markNow())
             val sentAt = time.markNow()
             time += 100.milliseconds
+            log.tick(time.markNow())
             val tag = peerTag(CLUSTER, 2, 3)
             log.receive(1, HeartbeatReply(3, 2, peerTag(CLUSTER, 22, 3)))
             assertEquals(null, log.majorityContact)
