Print the time to a new leader and count traffic in one place

The targets for a new leader (3 s) and for control traffic (3 KB/s) are checked by tests, but only the traffic was printed. The network of the simulation now counts bytes with their frames, and the election test prints its times.

--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogTest.kt
@@ -105,14 +105,17 @@
     inner class Elections {
         @Test
         fun `a lost leader is replaced within three seconds`() {
-            (1L..20L).forEach { seed ->
+            val times = (1L..20L).map { seed ->
                 val simulation = Simulation(seed, 5).apply { start() }
                 simulation.runUntilReady()
                 val lost = assertNotNull(simulation.leader)
                 lost.crash()
                 lost.restartAt = Long.MAX_VALUE
+                val lostAt = simulation.now
                 simulation.runUntil(3_000, "new leader") { simulation.leader?.log?.isReady == true }
+                simulation.now - lostAt
             }
+            println("time to a new leader in ms: ${times.sorted()}")
         }
 
         @Test
@@ -228,17 +231,11 @@
             val before = network.traffic.toMap()
             simulation.run(10_000)
             val busiest = simulation.replicas.keys.maxOf { name ->
-                val traffic = network.traffic.getValue(name) - before.getValue(name)
-                traffic.totalBytes(FRAME_OVERHEAD_BYTES) / 10
+                (network.traffic.getValue(name) - before.getValue(name)) / 10
             }
 
             println("idle traffic of the leader, both directions: $busiest bytes/s")
             assertTrue(busiest < 2_700, "$busiest bytes/s")
         }
     }
-
-    private companion object {
-        /** Frame length (4), tag (16), and the envelope of a peer message in CBOR (about 13). */
-        const val FRAME_OVERHEAD_BYTES = 33
-    }
 }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedNetwork.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedNetwork.kt
@@ -11,16 +11,6 @@
 /** A message that arrives at [arrival], in milliseconds of virtual time. */
 data class Delivery(val link: Link, val message: Payload, val arrival: Long, val number: Long)
 
-/** A number of messages and the bytes in them. */
-data class Traffic(val messages: Long, val bytes: Long) {
-    operator fun plus(other: Traffic) = Traffic(messages + other.messages, bytes + other.bytes)
-
-    operator fun minus(other: Traffic) = Traffic(messages - other.messages, bytes - other.bytes)
-
-    /** Bytes including [overhead] of each message's frame. */
-    fun totalBytes(overhead: Int): Long = bytes + messages * overhead
-}
-
 /** Loses, delays, reorders and duplicates messages, and blocks links, as the fields say. */
 class SimulatedNetwork(private val random: Random) {
     private val queue = PriorityQueue<Delivery>(compareBy({ it.arrival }, { it.number }))
@@ -30,15 +20,15 @@
     var duplicateProbability = 0.0
     var longDelayProbability = 0.0
 
-    /** Messages sent and received so far by each process. */
-    val traffic = mutableMapOf<ProcessName, Traffic>()
+    /** Bytes that each process has sent and received so far, frames included. */
+    val traffic = mutableMapOf<ProcessName, Long>()
     var largestMessage = 0
 
     fun send(link: Link, message: Payload, now: Long) {
         val size = message.bytes.size
         largestMessage = maxOf(largestMessage, size)
         listOf(link.sender, link.receiver).forEach { process ->
-            traffic.merge(process, Traffic(1, size.toLong())) { a, b -> a + b }
+            traffic.merge(process, size + FRAME_OVERHEAD_BYTES, Long::plus)
         }
         if (random.nextDouble() < lossProbability) return
         val copies = if (random.nextDouble() < duplicateProbability) 2 else 1
@@ -57,4 +47,9 @@
     } else {
         random.nextLong(1, 12)
     }
+
+    private companion object {
+        /** Frame length (4), tag (16), and the envelope of a peer message in CBOR (about 13). */
+        const val FRAME_OVERHEAD_BYTES = 33L
+    }
 }
