Run the controller with one and with three replicas

Cause: the control state needs a process around it that owns a replica of the log, answers sidecars, entries and operators, and survives the loss of its leader (design decisions 4, 6, 7 and 16).

Ruled out: one connection per pair of controllers for both directions. A process with the roles entry and controller has one name for both, so each controller dials the others for what it sends and reads what they send on the connections it accepted. Also ruled out: taking inputs with a timeout around receive, which can lose an input when both happen at once; a ticker feeds the inbox.

A controller that lost its data folder came back as a new member and voted again.

--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerTest.kt
@@ -6,13 +6,19 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 import org.awaitility.Awaitility.await
 import org.hibiscusproxy.control.ChangeOutcome
+import org.hibiscusproxy.daemon.command.CallResult
+import org.hibiscusproxy.daemon.command.OperatorClient
 import org.hibiscusproxy.daemon.controller.ControllerFixture.Companion.change
 import org.hibiscusproxy.daemon.controller.ControllerFixture.Companion.objects
 import org.hibiscusproxy.daemon.controller.ControllerFixture.Companion.publishBody
 import org.hibiscusproxy.daemon.controller.ControllerFixture.Companion.stateBody
 import org.hibiscusproxy.model.OperationalState
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.ControlRefusal
 import org.hibiscusproxy.protocol.Incarnation
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.io.TempDir
@@ -87,4 +93,86 @@
             assertEquals(2, next.grant?.fencingNumber)
         }
     }
+
+    @Nested
+    inner class ThreeControllers {
+        private val fixture by lazy { fixture("c1", "c2", "c3") }
+
+        private fun awaitLeader(): ProcessName {
+            eventually { fixture.leader() != null }
+            return checkNotNull(fixture.leader())
+        }
+
+        @Test
+        fun `answer through any of them and lease from the leader alone`() {
+            val leader = awaitLeader()
+            for (controller in fixture.addresses) {
+                val address = checkNotNull(controller.operators)
+                OperatorClient(listOf(address), fixture.key).use { client ->
+                    val outcome = client.change("/objects", publishBody("a", 0)).outcome
+                    assertEquals(ChangeOutcome.Accepted(1), outcome)
+                }
+            }
+            val t1 = sidecar(fixture, "t1")
+            eventually { t1.admits && t1.refusals.size >= 2 }
+
+            assertEquals(setOf(ControlRefusal.NOT_LEADER to leader), t1.refusalsWithLeader())
+        }
+
+        @Test
+        fun `keep leases running and changes known when the leader stops`() {
+            val leader = awaitLeader()
+            val client = fixture.client()
+            client.change("/objects", publishBody("a", 0))
+            val t1 = sidecar(fixture, "t1")
+            val t2 = sidecar(fixture, "t2")
+            eventually { t1.admits && t2.admits }
+
+            fixture.stop(leader)
+            val stopped = TimeSource.Monotonic.markNow()
+            val report = client.change("/data-centers/lj/out", stateBody("b"))
+            val elected = stopped.elapsedNow()
+            assertTrue(elected < 3.seconds, "accepted after $elected")
+            assertTrue(t2.admits, "the lease of t2 ran out")
+            assertEquals(ChangeOutcome.Accepted(2), report.outcome)
+            assertEquals(false, report.progress?.isInForce, "$report")
+            val resend = client.change("/objects", publishBody("a", 0))
+            assertEquals(ChangeOutcome.Accepted(1), resend.outcome)
+
+            val done = client.change("/data-centers/lj/out?wait=10", stateBody("b"))
+            assertEquals(true, done.progress?.isInForce, "$done")
+            assertEquals(false, t1.admits)
+            assertEquals(true, t2.admits)
+        }
+
+        @Test
+        fun `take back a controller that lost its disk as a new member`() {
+            val leader = awaitLeader()
+            val lost = fixture.addresses.map { it.name }.first { it != leader }
+            val client = fixture.client()
+            client.change("/objects", publishBody("a", 0))
+            fixture.stop(lost)
+            folder.resolve(lost.value).toFile().deleteRecursively()
+            fixture.start(lost)
+            fun leaderStatus() = fixture.status(fixture.addresses.single { it.name == leader })
+            eventually { leaderStatus().strangers.any { it.process == lost } }
+            val identity = leaderStatus().strangers.single { it.process == lost }.identity
+
+            assertEquals(200, client.members(MemberBody(MemberAction.REMOVE, lost)))
+            assertEquals(200, client.members(MemberBody(MemberAction.ADD, lost, identity)))
+            eventually { client.members(MemberBody(MemberAction.PROMOTE, lost)) == 200 }
+            val expected = MemberReport(lost, identity, isVoter = true)
+            assertTrue(expected in leaderStatus().members, "${leaderStatus().members}")
+            val own = fixture.addresses.single { it.name == lost }
+            eventually { fixture.status(own).version == 1L }
+        }
+    }
+
+    private fun SidecarStandIn.refusalsWithLeader() =
+        refusals.filter { it.leader != null }.map { it.reason to it.leader }.toSet()
+
+    private fun OperatorClient.members(body: MemberBody): Int {
+        val text = OperatorJson.format.encodeToString(MemberBody.serializer(), body)
+        return (call("POST", "/members", text) as CallResult.Answered).status
+    }
 }
