Count an engine's refusals as not run in direct mode

A load that was sent straight to engines for comparison reported each refusal of a full engine as lost, because engines do not send the fleet's outcome header. Adding the header to the engine was ruled out: engines are outside systems and the sidecar must not come to rely on it. The load tool treats an engine's 503 as not run in direct mode and checks it against the engine's executions. An engine that allows no waiting requests no longer refuses the ones that have a free slot.

--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/Engine.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/engine/Engine.kt
@@ -52,7 +52,7 @@
 
     /** Starts [run] or puts it in line; false when too many wait. */
     fun submit(run: EngineRun): Boolean = onThread {
-        if (waiting.size >= options.maximumWaiting) {
+        if (running.size >= options.slots && waiting.size >= options.maximumWaiting) {
             rejected++
             return@onThread false
         }
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/Caller.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/Caller.kt
@@ -130,9 +130,13 @@
             val body = response.body.string()
             val error = runCatching { standInJson.decodeFromString<ErrorBody>(body).error }
                 .getOrElse { return RequestOutcome.Lost("${response.code} without error: $body") }
-            return when (response.header(OUTCOME_HEADER)) {
-                "not-run" -> RequestOutcome.NotRun(error.type, error.requestId)
-                "unknown" -> RequestOutcome.Unknown(error.type)
+            val outcome = response.header(OUTCOME_HEADER)
+            // Engines know nothing of the fleet's outcomes, but refuse before they run anything.
+            val isEngineRefusal = options.isDirect && response.code == UNAVAILABLE
+            return when {
+                outcome == "not-run" || isEngineRefusal ->
+                    RequestOutcome.NotRun(error.type, error.requestId)
+                outcome == "unknown" -> RequestOutcome.Unknown(error.type)
                 else -> RequestOutcome.Lost("${response.code} without outcome: $body")
             }
         }
@@ -243,6 +247,7 @@
 
         // Shorter than the servers' idle time, so that no request meets a connection being closed.
         const val POOLED_SECONDS = 10L
+        const val UNAVAILABLE = 503
         const val DATA = "data:"
         const val ERROR = "{\"error\""
         const val END_OF_STREAM = "[DONE]"
--- a/hibiscusproxy-standins/src/test/kotlin/org/hibiscusproxy/standins/load/LoadRunTest.kt
+++ b/hibiscusproxy-standins/src/test/kotlin/org/hibiscusproxy/standins/load/LoadRunTest.kt
@@ -39,10 +39,9 @@
 
     private fun <T : AutoCloseable> closed(resource: T): T = resource.also { closing += it }
 
-    private fun engine(): NetworkAddress {
-        val engine = EngineOptions("e", slots = 100, tokenMilliseconds = 5)
-        return closed(EngineServer.start(anyPort, engine)).address
-    }
+    private fun engine(
+        options: EngineOptions = EngineOptions("e", slots = 100, tokenMilliseconds = 5),
+    ): NetworkAddress = closed(EngineServer.start(anyPort, options)).address
 
     private fun run(address: NetworkAddress, change: LoadOptions.() -> LoadOptions = { this }) =
         LoadRun(options.copy(entries = listOf("http://$address")).change(), lines::add).execute()
@@ -84,13 +83,29 @@
         fun `draws a plot`() {
             val file = createTempFile(suffix = ".svg").toFile()
 
-            run(engine()) { copy(plotFile = file.path) }
+            run(engine()) { copy(burst = 2, plotFile = file.path) }
 
             assertTrue("<svg" in file.readText())
             file.delete()
         }
     }
 
+    @Nested
+    inner class DirectRun {
+        @Test
+        fun `counts what an engine refuses as not run`() {
+            val full = EngineOptions("e", slots = 4, maximumWaiting = 3, tokenMilliseconds = 20)
+            val address = engine(full)
+
+            val summary = run(address) {
+                copy(isDirect = true, burst = 20, statsUrls = listOf("http://$address"))
+            }
+
+            assertEquals(OutcomeCounts(7, notRun = mapOf("overloaded" to 13)), summary.outcomes)
+            assertTrue(summary.isClean, "${summary.executions}")
+        }
+    }
+
     @Nested
     inner class FaultyRun {
         @Test
