Keep a margin below the load bound for attempts that can go elsewhere

A target filled up to ceil(1.25 x (total + 1) / size) exceeds the multiple as soon as the total falls, and the total is one to two seconds old. Probes now get one standard deviation of a Poisson total less, waiting attempts the set bound. Refused probes no longer use the retry budget but an allowance.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
@@ -9,7 +9,6 @@
 import kotlin.time.TimeSource
 import org.hibiscusproxy.model.FleetState
 import org.hibiscusproxy.model.OperationalState
-import org.hibiscusproxy.model.Service
 import org.hibiscusproxy.model.Target
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.model.TeamName
@@ -20,6 +19,7 @@
 import org.hibiscusproxy.protocol.LeaseGrant
 import org.hibiscusproxy.protocol.LoadReport
 import org.hibiscusproxy.protocol.NotRunReason
+import org.hibiscusproxy.protocol.PoolLoad
 
 /**
  * Admission beside one target. An attempt runs when the sidecar holds a lease that lets new work
@@ -43,7 +43,7 @@
     private val queue = FairQueue(timeSource, ageing = AGEING)
     private var shares = emptyMap<TeamName, Int>()
     private var configured: Target? = null
-    private var service: Service? = null
+    private var loadBound = LoadBound(multiple = 1.25, floor = 1)
     private var state = OperationalState.OUT
     private var coldStart = ColdStartLimit(1, 1)
     private var lease: LeaseGrant? = null
@@ -58,7 +58,8 @@
             coldStart = ColdStartLimit(found.coldCapacity, found.capacity)
         }
         configured = found
-        service = state.objects.services.find { it.name == found?.service }
+        state.objects.services.find { it.name == found?.service }
+            ?.let { loadBound = LoadBound(it.loadMultiple, it.loadFloor) }
         shares = state.objects.teams.associate { it.name to it.share }
         this.state = found?.let { state.stateOf(it) } ?: OperationalState.OUT
     }
@@ -82,7 +83,7 @@
         blockedBy()?.let { return refuse(it) }
         if (isFingerprintRefused(dispatch.fingerprint)) return refuse(NotRunReason.CRASHES_TARGETS)
         if (dispatch.remainingMilliseconds <= 0) return refuse(NotRunReason.DEADLINE)
-        if (queue.size == 0 && running.size < limit()) {
+        if (queue.size == 0 && running.size < (if (mayWait) limit() else probeLimit())) {
             queue.charge(dispatch.team, shareOf(dispatch.team))
             start(dispatch)
             return AdmissionDecision.Admitted
@@ -167,12 +168,14 @@
         }
     }
 
-    private fun limit(): Int {
+    private fun limit(): Int = limit { loadBound.of(it) }
+
+    private fun probeLimit(): Int = limit { loadBound.forProbe(it) }
+
+    private fun limit(bound: (PoolLoad) -> Int): Int {
         val configured = configured ?: return 0
-        val bound = lease?.let {
-            LoadBound.of(it.pool, service?.loadMultiple ?: 1.25, service?.loadFloor ?: 1)
-        } ?: 0
-        return min(min(configured.capacity, coldStart.limit), bound)
+        val pool = lease?.pool ?: return 0
+        return min(min(configured.capacity, coldStart.limit), bound(pool))
     }
 
     private fun start(dispatch: Dispatch) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/retry/RetryPolicy.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/retry/RetryPolicy.kt
@@ -6,21 +6,17 @@
 import org.hibiscusproxy.protocol.NotRunReason
 
 /**
- * Decides about retries by what failed, attempts, deadline, budget and bytes relayed. A refusal
- * for want of room at one target while others are untried is part of the placement's walk and
- * takes from [walks] instead, which allows one step for each request on average.
+ * Decides about retries by what failed, attempts, deadline, budget and bytes relayed. Refused
+ * probes of a placement walk are no failures; they are limited by the walk itself.
  *
- * @property budget retries after failures
- * @property walks steps of placement walks
  * @property random source of the jitter, seeded by the caller
  */
 class RetryPolicy(
     private val budget: RetryBudget,
     private val random: Random,
-    private val maximumAttempts: Int = 5,
+    private val maximumAttempts: Int = 4,
     private val firstPause: Duration = 20.milliseconds,
     private val longestPause: Duration = 1_000.milliseconds,
-    private val walks: RetryBudget = RetryBudget(share = 1.0, burst = 100.0),
 ) {
     /** Decides after [failure]; takes from the budget when the decision is to retry. */
     fun decide(failure: AttemptFailure, request: RetryRequest): RetryDecision {
@@ -28,24 +24,14 @@
         val pause = pause(failure, request)
         return when {
             pause >= request.remaining -> RetryDecision.GiveUp(GiveUpReason.DEADLINE)
-            !takeFrom(failure, request) -> RetryDecision.GiveUp(GiveUpReason.BUDGET)
+            !budget.tryTake() -> RetryDecision.GiveUp(GiveUpReason.BUDGET)
             pause > Duration.ZERO -> RetryDecision.RetryAfter(pause)
             else -> RetryDecision.RetryElsewhere
         }
     }
 
-    /** Counts a caller's request, which earns retries and steps. */
-    fun requestStarted() {
-        budget.requestStarted()
-        walks.requestStarted()
-    }
-
-    private fun takeFrom(failure: AttemptFailure, request: RetryRequest): Boolean {
-        val isStep = failure is AttemptFailure.NotRun &&
-            failure.reason == NotRunReason.OVERLOADED &&
-            request.untriedTargets > 0
-        return (if (isStep) walks else budget).tryTake()
-    }
+    /** Counts a caller's request, which earns a share of a retry. */
+    fun requestStarted() = budget.requestStarted()
 
     private fun refusal(failure: AttemptFailure, request: RetryRequest): GiveUpReason? = when {
         request.bytesRelayed > 0 -> GiveUpReason.ALREADY_RELAYED
@@ -86,7 +72,7 @@
 /**
  * State of a request whose attempt failed.
  *
- * @property attempts attempts made so far, at least 1
+ * @property attempts attempts that failed so far, at least 1; refused probes do not count
  * @property remaining time to the deadline
  * @property repeatable whether it may run twice
  * @property bytesRelayed bytes of an answer that the caller has
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentRun.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentRun.kt
@@ -164,6 +164,7 @@
         var plan = RoutePlan()
         var home: TargetName? = null
         var attempts = 0
+        var failures = 0
     }
 
     private inner class Entry(index: Int) {
@@ -173,6 +174,7 @@
         private val retry = RetryPolicy(RetryBudget(), Random(index))
 
         private val formerHomes = FormerHomes(time)
+        private val allowance = ProbeAllowance()
 
         fun configure() {
             formerHomes.replaced(filter)
@@ -192,7 +194,10 @@
             val ranked = policy.rank(key, selection.candidates)
             call.home = policy.homeOf(key, selection.candidates)
             if (call.attempts == 0) {
-                call.plan = RoutePlan(formerHomes.of(request, key, policy, selection.candidates))
+                call.plan = RoutePlan(
+                    formerHomes.of(request, key, policy, selection.candidates),
+                    allowance.requestStarted(),
+                )
             }
             val step = call.plan.next(ranked)
             if (step == null) {
@@ -210,6 +215,7 @@
 
         fun refused(
             call: Call,
+            mayWait: Boolean,
             name: TargetName,
             reason: NotRunReason,
             pause: Duration,
@@ -218,6 +224,11 @@
             loads.finished(name)
             loads.reported(name, report)
             call.plan.refused(name)
+            if (reason == NotRunReason.OVERLOADED && !mayWait) {
+                allowance.probeRefused()
+                attempt(call)
+                return
+            }
             fail(call, AttemptFailure.NotRun(reason, pause))
         }
 
@@ -225,7 +236,7 @@
             val elapsed = nowMillis - call.turn.atMillis
             val remaining = 60.seconds - elapsed.milliseconds
             val untried = targets.size - out.size - call.plan.refusals.size
-            val request = RetryRequest(call.attempts, remaining, true, 0, maxOf(0, untried))
+            val request = RetryRequest(++call.failures, remaining, true, 0, maxOf(0, untried))
             when (val decision = retry.decide(failure, request)) {
                 RetryDecision.RetryElsewhere -> attempt(call)
                 is RetryDecision.RetryAfter -> after(decision.pause) { attempt(call) }
@@ -256,6 +267,7 @@
         var reported = LoadReport()
         private var admission = newAdmission()
         private val calls = HashMap<Attempt, Pair<Call, Duration>>()
+        private val probes = HashSet<Attempt>()
         val pointers = PlacementPointers(target.name)
         val index = CacheIndex()
         private val begun = LinkedHashSet<Attempt>()
@@ -303,6 +315,7 @@
             val attempt =
                 Attempt(RequestIdentifier("${turn.chat}-${turn.ownBlocks}"), call.attempts)
             calls[attempt] = call to distance
+            if (!step.mayWait) probes += attempt
             val dispatch = Dispatch(
                 attempt, Incarnation(1), load.teams[turn.team].name, service.name,
                 Priority.INTERACTIVE, 60_000, true, Fingerprint(turn.chat.toLong()), "POST", "/",
@@ -344,8 +357,11 @@
 
         private fun refuse(attempt: Attempt, reason: NotRunReason, pause: Duration) {
             val (call, distance) = calls.remove(attempt) ?: return
+            val isProbe = probes.remove(attempt)
             val report = admission.report()
-            after(distance) { call.entry.refused(call, target.name, reason, pause, report) }
+            after(distance) {
+                call.entry.refused(call, !isProbe, target.name, reason, pause, report)
+            }
         }
 
         private fun begin(attempt: Attempt) {
