--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/FairQueue.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/FairQueue.kt
@@ -11,31 +11,42 @@
 
 /**
  * Waiting attempts, served by priority and within a priority by the team with the smallest
- * virtual time; an admission advances a team's virtual time by one over its share.
+ * virtual time; an admission advances a team's virtual time by one over its share. A team may
+ * use no more than the places that are still free, so one team fills half of the queue and
+ * always leaves places for others.
  *
+ * @property capacity waiting attempts over all teams
  * @property ageing time after which a waiting attempt counts as one priority higher
  */
 internal class FairQueue(
     private val timeSource: TimeSource.WithComparableMarks,
+    private val capacity: Int,
     private val ageing: Duration,
 ) {
     private val waiting = LinkedHashMap<Attempt, Waiting>()
     private val virtualTimes = HashMap<TeamName, Double>()
-    private var now = 0.0
+    private var virtualNow = 0.0
 
     val size: Int get() = waiting.size
 
-    /** Adds an attempt at the end of its team's queue. */
-    fun add(dispatch: Dispatch, expiresAt: ComparableTimeMark) {
-        if (waiting.values.none { it.dispatch.team == dispatch.team }) {
-            virtualTimes[dispatch.team] = max(now, virtualTimes[dispatch.team] ?: 0.0)
+    /** Teams with waiting attempts. */
+    val teams: Set<TeamName> get() = waiting.values.mapTo(HashSet()) { it.dispatch.team }
+
+    /** Adds an attempt at the end of its team's queue, or returns false when there is no place. */
+    fun add(dispatch: Dispatch, expiresAt: ComparableTimeMark): Boolean {
+        val ofTeam = waiting.values.count { it.dispatch.team == dispatch.team }
+        if (ofTeam >= capacity - waiting.size) return false
+        if (ofTeam == 0) {
+            // A team that was idle gains no credit for the time it did not use.
+            virtualTimes[dispatch.team] = max(virtualNow, virtualTimes[dispatch.team] ?: 0.0)
         }
         waiting[dispatch.attempt] = Waiting(dispatch, timeSource.markNow(), expiresAt)
+        return true
     }
 
-    /** Removes and returns the next attempt, or null when none waits. */
-    fun poll(shareOf: (TeamName) -> Int): Dispatch? {
-        val next = waiting.values.minWithOrNull(
+    /** Removes and returns the next attempt of a team that [mayRun], or null when none does. */
+    fun poll(shareOf: (TeamName) -> Int, mayRun: (TeamName) -> Boolean = { true }): Dispatch? {
+        val next = waiting.values.filter { mayRun(it.dispatch.team) }.minWithOrNull(
             compareBy({ level(it) }, { virtualTimes.getValue(it.dispatch.team) }),
         ) ?: return null
         waiting.remove(next.dispatch.attempt)
@@ -43,16 +54,15 @@
         return next.dispatch
     }
 
-    /** Counts an attempt of [team] that was admitted without waiting or from the queue. */
+    /** Counts an admission of [team], with or without waiting. */
     fun charge(team: TeamName, share: Int) {
-        val start = max(now, virtualTimes[team] ?: 0.0)
-        now = start
+        val start = max(virtualNow, virtualTimes[team] ?: 0.0)
+        if (team in teams || waiting.isEmpty()) virtualNow = start
         virtualTimes[team] = start + 1.0 / max(1, share)
+        // Times in the past equal none, so teams that left do not take memory for good.
+        if (virtualTimes.size > FORGET_ABOVE_TEAMS) virtualTimes.keys.removeIf { isIdle(it) }
     }
 
-    /** Number of waiting attempts of [team]. */
-    fun sizeOf(team: TeamName): Int = waiting.values.count { it.dispatch.team == team }
-
     /** Removes [attempt]; returns whether it waited. */
     fun remove(attempt: Attempt): Boolean = waiting.remove(attempt) != null
 
@@ -62,6 +72,9 @@
     /** Removes and returns all attempts. */
     fun clear(): List<Dispatch> = removeIf { true }
 
+    private fun isIdle(team: TeamName): Boolean =
+        team !in teams && virtualTimes.getValue(team) <= virtualNow
+
     private fun removeIf(condition: (Waiting) -> Boolean): List<Dispatch> {
         val removed = waiting.values.filter(condition).map { it.dispatch }
         for (dispatch in removed) waiting.remove(dispatch.attempt)
@@ -78,4 +91,8 @@
         val since: ComparableTimeMark,
         val expiresAt: ComparableTimeMark,
     )
+
+    private companion object {
+        const val FORGET_ABOVE_TEAMS = 1_000
+    }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.admission
 
+import kotlin.math.max
 import kotlin.math.min
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -9,6 +10,7 @@
 import kotlin.time.TimeSource
 import org.hibiscusproxy.model.FleetState
 import org.hibiscusproxy.model.OperationalState
+import org.hibiscusproxy.model.ServiceKind
 import org.hibiscusproxy.model.Target
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.model.TeamName
@@ -26,6 +28,9 @@
  * in and fewer requests run than the smallest of capacity, cold start limit and load bound;
  * otherwise it waits in a bounded fair queue or is refused.
  *
+ * The last eighth of the capacity is kept for teams below their share of the running requests, so
+ * that a team in a burst does not hold every place when another team's request arrives.
+ *
  * @property target name of the target this sidecar stands beside
  * @property incarnation of this sidecar; attempts for another one are refused
  * @property maximumQueue waiting attempts over all teams
@@ -34,13 +39,15 @@
 class TargetAdmission(
     private val target: TargetName,
     private val incarnation: Incarnation,
-    private val maximumQueue: Int,
+    maximumQueue: Int,
     private val queueTime: Duration,
     private val timeSource: TimeSource.WithComparableMarks,
 ) : AdmissionController {
-    private val running = LinkedHashMap<Attempt, Running>()
+    private val running = RunningAttempts(timeSource)
     private val history = AttemptHistory(timeSource, HISTORY_RETENTION)
-    private val queue = FairQueue(timeSource, ageing = AGEING)
+    private val queue = FairQueue(timeSource, maximumQueue, AGEING)
+    private val waitEstimate = WaitEstimate()
+    private val crashMarks = LinkedHashSet<Fingerprint>()
     private var shares = emptyMap<TeamName, Int>()
     private var configured: Target? = null
     private var loadBound = LoadBound(multiple = 1.25, floor = 1)
@@ -54,20 +61,24 @@
 
     override fun configure(state: FleetState) {
         val found = state.objects.targets.find { it.name == target }
+        val service = state.objects.services.find { it.name == found?.service }
         if (found != null && !found.hasSameCapacity(configured)) {
-            coldStart = ColdStartLimit(found.coldCapacity, found.capacity)
+            val needsReport = service?.kind is ServiceKind.Chat
+            coldStart = ColdStartLimit(found.coldCapacity, found.capacity, needsReport)
         }
         configured = found
-        state.objects.services.find { it.name == found?.service }
-            ?.let { loadBound = LoadBound(it.loadMultiple, it.loadFloor) }
+        service?.let { loadBound = LoadBound(it.loadMultiple, it.loadFloor) }
         shares = state.objects.teams.associate { it.name to it.share }
         this.state = found?.let { state.stateOf(it) } ?: OperationalState.OUT
     }
 
     override fun renew(lease: LeaseGrant, requestedAt: ComparableTimeMark): List<AdmissionEvent> {
         val end = requestedAt + lease.durationMilliseconds.milliseconds
-        val isNewer = this.lease == null || lease.version >= this.lease!!.version
-        if (isNewer && (leaseEnd == null || end > leaseEnd!!)) {
+        val held = this.lease
+        val isOlder = held != null &&
+            (lease.version < held.version || lease.fencingNumber < held.fencingNumber)
+        val isLater = leaseEnd.let { it == null || end > it }
+        if (!isOlder && isLater) {
             this.lease = lease
             leaseEnd = end
         }
@@ -83,15 +94,16 @@
         blockedBy()?.let { return refuse(it) }
         if (isFingerprintRefused(dispatch.fingerprint)) return refuse(NotRunReason.CRASHES_TARGETS)
         if (dispatch.remainingMilliseconds <= 0) return refuse(NotRunReason.DEADLINE)
-        if (queue.size == 0 && running.size < (if (mayWait) limit() else probeLimit())) {
+        val limit = if (mayWait) limit() else probeLimit()
+        if (hasPlace(dispatch.team, limit) && queue.teams.none { hasPlace(it, limit) }) {
             queue.charge(dispatch.team, shareOf(dispatch.team))
-            start(dispatch)
+            running.add(dispatch)
             return AdmissionDecision.Admitted
         }
-        if (!mayWait || queue.size >= maximumQueue) return refuse(NotRunReason.OVERLOADED)
+        if (!mayWait) return refuse(NotRunReason.OVERLOADED)
         val wait = minOf(queueTime, dispatch.remainingMilliseconds.milliseconds)
-        queue.add(dispatch, timeSource.markNow() + wait)
-        return AdmissionDecision.Queued
+        val isQueued = queue.add(dispatch, timeSource.markNow() + wait)
+        return if (isQueued) AdmissionDecision.Queued else refuse(NotRunReason.OVERLOADED)
     }
 
     /**
@@ -103,6 +115,7 @@
     override fun confirm(attempt: Attempt): NotRunReason? {
         val entry = running[attempt] ?: return NotRunReason.STALE_ATTEMPT
         val reason = blockedBy()
+            ?: NotRunReason.CRASHES_TARGETS.takeIf { isFingerprintRefused(entry.fingerprint) }
             ?: NotRunReason.DEADLINE.takeIf { entry.deadline.hasPassedNow() }
         if (reason != null) running.remove(attempt)
         return reason
@@ -114,20 +127,34 @@
         val entry = running[attempt] ?: return
         if (entry.hasFirstByte) return
         entry.hasFirstByte = true
-        coldStart.firstByte(entry.since.elapsedNow())
+        coldStart.firstByte(entry.age)
     }
 
     override fun finish(attempt: Attempt, result: AttemptResult): List<AdmissionEvent> {
-        running.remove(attempt)
-        if (result == AttemptResult.TARGET_LOST || result == AttemptResult.UNREACHABLE) {
-            coldStart.reset()
+        val entry = running.remove(attempt) ?: return advance()
+        when (result) {
+            AttemptResult.COMPLETED -> waitEstimate.ran(entry.age)
+
+            AttemptResult.CANCELLED -> Unit
+
+            AttemptResult.UNREACHABLE -> coldStart.fallBack()
+
+            AttemptResult.TARGET_LOST -> {
+                coldStart.fallBack()
+                crashMarks += entry.fingerprint
+            }
         }
         return advance()
     }
 
-    override fun targetReported(report: TargetReport) {
-        if (!report.warm) coldStart.reset()
-    }
+    /**
+     * Returns and forgets the fingerprints that were in flight when the target was lost. The
+     * sidecar calls it once after it has finished all attempts of one loss, so that they are
+     * reported as one crash.
+     */
+    fun takeCrashMarks(): Set<Fingerprint> = crashMarks.toSet().also { crashMarks.clear() }
+
+    override fun targetReported(report: TargetReport) = coldStart.reported(report.warm)
 
     override fun refuseFingerprints(fingerprints: Set<Fingerprint>, duration: Duration) {
         refusedFingerprints = fingerprints
@@ -143,8 +170,8 @@
             return events
         }
         while (running.size < limit()) {
-            val next = queue.poll(::shareOf) ?: break
-            start(next)
+            val next = queue.poll(::shareOf) { hasPlace(it, limit()) } ?: break
+            running.add(next)
             events += AdmissionEvent.Admit(next.attempt)
         }
         return events
@@ -178,10 +205,12 @@
         return min(min(configured.capacity, coldStart.limit), bound(pool))
     }
 
-    private fun start(dispatch: Dispatch) {
-        val now = timeSource.markNow()
-        val deadline = now + dispatch.remainingMilliseconds.milliseconds
-        running[dispatch.attempt] = Running(dispatch.fingerprint, now, deadline)
+    private fun hasPlace(team: TeamName, limit: Int): Boolean {
+        if (running.size >= limit) return false
+        val capacity = min(configured?.capacity ?: 0, coldStart.limit)
+        if (running.size < capacity - capacity / RESERVED_PART) return true
+        val fair = running.fairPlaces(team, running.teams + queue.teams, capacity, ::shareOf)
+        return running.countOf(team) < fair
     }
 
     private fun shareOf(team: TeamName): Int = shares[team] ?: 1
@@ -196,23 +225,21 @@
         AdmissionEvent.Refuse(dispatch.attempt, reason, retryAfter(reason))
 
     private fun retryAfter(reason: NotRunReason): Duration = when (reason) {
-        NotRunReason.OVERLOADED, NotRunReason.QUEUE_TIMEOUT -> 1.seconds
+        NotRunReason.OVERLOADED, NotRunReason.QUEUE_TIMEOUT ->
+            waitEstimate.behind(queue.size, max(1, limit()))
+
+        NotRunReason.NO_LEASE -> LEASE_RETRY
+
         else -> Duration.ZERO
     }
 
     private fun Target.hasSameCapacity(other: Target?): Boolean =
         other != null && capacity == other.capacity && coldCapacity == other.coldCapacity
 
-    private class Running(
-        val fingerprint: Fingerprint,
-        val since: ComparableTimeMark,
-        val deadline: ComparableTimeMark,
-    ) {
-        var hasFirstByte = false
-    }
-
     private companion object {
         val HISTORY_RETENTION = 10.minutes
         val AGEING = 2.seconds
+        val LEASE_RETRY = 1.seconds
+        const val RESERVED_PART = 8
     }
 }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/PlacementExperiment.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/PlacementExperiment.kt
@@ -10,7 +10,8 @@
     val SKUPAJ = ExperimentFleet("Skupaj", dataCenters = 3, oneWayMillis = 1.5)
     val VOLTA = ExperimentFleet("Volta", dataCenters = 4, oneWayMillis = 0.5)
     private const val MINUTES = 20
-    val BURST = ExperimentLoad.Burst(team = 4, factor = 10, fromMinute = 8.0, toMinute = 16.0)
+    private val SMALL_BURST = ExperimentLoad.Burst(4, 10, 8.0, 16.0)
+    private val LARGE_BURST = ExperimentLoad.Burst(1, 10, 8.0, 16.0)
 
     /** Engine 5 leaves for two minutes and flaps three times; engine 2 crashes and returns. */
     private val CHURN = listOf(
@@ -39,7 +40,11 @@
         situation: String,
         minutes: Int = MINUTES,
     ): ExperimentFigures {
-        val burst = BURST.takeIf { situation == "burst" }
+        val burst = when (situation) {
+            "burst" -> SMALL_BURST
+            "large burst" -> LARGE_BURST
+            else -> null
+        }
         val load = ExperimentLoad(minutes, seed = 1, entries = 3, burst = burst)
         val changes = if (situation == "churn") CHURN else emptyList()
         return ExperimentRun(fleet, load, policy, changes, burst = burst).run()
@@ -49,7 +54,7 @@
     fun main(arguments: Array<String>) {
         val names = arguments.toList().ifEmpty { PlacementPolicies.names }
         for (fleet in listOf(SKUPAJ, VOLTA)) {
-            for (situation in listOf("steady", "churn", "burst")) {
+            for (situation in listOf("steady", "churn", "burst", "large burst")) {
                 println("\n${fleet.name}, $situation\n\n${ExperimentFigures.HEADER}")
                 for (name in names) println(run(policy(name), fleet, situation).row(name))
             }
