--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/TargetAdmissionTest.kt
@@ -0,0 +1,339 @@
+package org.hibiscusproxy.admission
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import org.hibiscusproxy.admission.AdmissionDecision.Admitted
+import org.hibiscusproxy.admission.AdmissionDecision.Queued
+import org.hibiscusproxy.admission.AdmissionDecision.Refused
+import org.hibiscusproxy.admission.AdmissionFixture.Companion.attempt
+import org.hibiscusproxy.model.OperationalState
+import org.hibiscusproxy.model.Priority
+import org.hibiscusproxy.model.ServiceKind
+import org.hibiscusproxy.protocol.Fingerprint
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.NotRunReason
+import org.hibiscusproxy.protocol.PoolLoad
+import org.junit.jupiter.api.Nested
+
+/** Guards what the sidecar promises: who runs, who waits, and that refused attempts never run. */
+class TargetAdmissionTest {
+    private fun reason(decision: AdmissionDecision) = assertIs<Refused>(decision).reason
+
+    @Nested
+    inner class Leases {
+        private val fixture = AdmissionFixture()
+
+        @Test
+        fun `an expired lease lets nothing in and stops what was admitted but not sent`() {
+            assertEquals(Admitted, fixture.offer("a"))
+            fixture.time += 3_001.milliseconds
+
+            assertEquals(NotRunReason.NO_LEASE, reason(fixture.offer("b")))
+            assertEquals(NotRunReason.NO_LEASE, fixture.admission.confirm(attempt("a")))
+        }
+
+        @Test
+        fun `a lease counts from when it was asked for`() {
+            val asked = fixture.time.markNow()
+            fixture.time += 2.seconds
+            fixture.renew(requestedAt = asked)
+            fixture.time += 1_001.milliseconds
+
+            assertEquals(NotRunReason.NO_LEASE, reason(fixture.offer("a")))
+        }
+
+        @Test
+        fun `a late lease of an earlier version or leader does not undo a drain`() {
+            fixture.time += 10.milliseconds
+            fixture.renew(state = OperationalState.OUT, version = 2, fencingNumber = 2)
+            fixture.time += 10.milliseconds
+            fixture.renew(version = 1, fencingNumber = 2)
+            fixture.renew(version = 2, fencingNumber = 1)
+
+            assertEquals(NotRunReason.LEAVING, reason(fixture.offer("a")))
+        }
+
+        @Test
+        fun `shutting down refuses what waits and leaves what runs`() {
+            repeat(4) { fixture.offer("run-$it") }
+            fixture.offer("waiting")
+
+            val refused = fixture.admission.shutDown().single()
+
+            val expected =
+                AdmissionEvent.Refuse(attempt("waiting"), NotRunReason.LEAVING, Duration.ZERO)
+            assertEquals(expected, refused)
+            assertEquals(4, fixture.admission.report().running)
+        }
+    }
+
+    @Nested
+    inner class Attempts {
+        private val fixture = AdmissionFixture(capacity = 1, maximumQueue = 2)
+
+        @Test
+        fun `a refused or finished attempt never runs`() {
+            fixture.offer("a")
+            val probe = fixture.dispatch("probe")
+            val first = fixture.admission.offer(probe, mayWait = false)
+            fixture.finish("a")
+
+            assertEquals(NotRunReason.OVERLOADED, reason(first))
+            assertEquals(NotRunReason.STALE_ATTEMPT, reason(fixture.admission.offer(probe)))
+            assertEquals(NotRunReason.STALE_ATTEMPT, reason(fixture.offer("a")))
+            assertEquals(Admitted, fixture.admission.offer(fixture.dispatch("probe", number = 2)))
+        }
+
+        @Test
+        fun `an attempt for an earlier incarnation is refused`() {
+            val old = fixture.dispatch("a", incarnation = Incarnation(6))
+
+            assertEquals(NotRunReason.OLD_INCARNATION, reason(fixture.admission.offer(old)))
+        }
+
+        @Test
+        fun `attempts beyond the exact history stay refused`() {
+            val history = AttemptHistory(fixture.time, 10.minutes, capacity = 100)
+            val attempts = List(10_000) { attempt("request-$it") }
+            val wronglyRefused = attempts.count { !history.record(it) }
+
+            assertEquals(0, attempts.count { history.record(it) })
+            assertEquals(100, history.size)
+            assertTrue(wronglyRefused < 10, "$wronglyRefused refused that were not seen")
+        }
+
+        @Test
+        fun `a deadline that passes before sending gives the attempt up`() {
+            fixture.admission.offer(fixture.dispatch("a", remainingMilliseconds = 5))
+            fixture.time += 6.milliseconds
+
+            assertEquals(NotRunReason.DEADLINE, fixture.admission.confirm(attempt("a")))
+            assertEquals(0, fixture.admission.report().running)
+        }
+
+        @Test
+        fun `a fingerprint that crashes targets is refused until its time is over`() {
+            val fingerprint = fixture.dispatch("a").fingerprint
+            fixture.admission.refuseFingerprints(setOf(fingerprint), 2.seconds)
+
+            assertEquals(NotRunReason.CRASHES_TARGETS, reason(fixture.offer("a")))
+            fixture.time += 2_001.milliseconds
+            assertEquals(Admitted, fixture.admission.offer(fixture.dispatch("a", number = 2)))
+        }
+    }
+
+    @Nested
+    inner class Bounds {
+        private fun admitted(pool: PoolLoad, mayWait: Boolean): Int {
+            val fixture = AdmissionFixture(capacity = 16)
+            fixture.renew(pool, requestedAt = fixture.time.also { it += 1.milliseconds }.markNow())
+            return (0 until 32).count {
+                fixture.admission.offer(fixture.dispatch("r$it"), mayWait) == Admitted
+            }
+        }
+
+        @Test
+        fun `waiting attempts get the formula and probes a margin less`() {
+            assertEquals(9, admitted(PoolLoad(38, 6), mayWait = true))
+            assertEquals(7, admitted(PoolLoad(38, 6), mayWait = false))
+        }
+
+        @Test
+        fun `an idle pool allows one request and a pool of one its capacity`() {
+            assertEquals(1, admitted(PoolLoad(0, 6), mayWait = false))
+            assertEquals(16, admitted(PoolLoad(0, 1), mayWait = false))
+        }
+
+        @Test
+        fun `probes alone let any pool grow to its capacity`() {
+            for (size in 2..40) {
+                val bound = LoadBound(multiple = 1.25, floor = 1)
+                for (total in 0..size * 16) {
+                    assertTrue(bound.forProbe(PoolLoad(total, size)) * size > total)
+                    assertTrue(
+                        bound.forProbe(PoolLoad(total, size)) <= bound.of(PoolLoad(total, size)),
+                    )
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class ColdStart {
+        private val fixture =
+            AdmissionFixture(capacity = 8, coldCapacity = 2, kind = ServiceKind.Chat(emptyList()))
+        private var next = 0
+
+        private fun serve(firstByte: Duration) {
+            val request = "r${next++}"
+            fixture.offer(request)
+            fixture.time += firstByte
+            fixture.renew()
+            fixture.admission.firstByte(attempt(request))
+            fixture.finish(request)
+        }
+
+        @Test
+        fun `many entries that find a cold target at once get its cold capacity only`() {
+            val admitted = (0 until 100).count {
+                fixture.admission.offer(fixture.dispatch("r$it"), mayWait = false) == Admitted
+            }
+
+            assertEquals(2, admitted)
+        }
+
+        @Test
+        fun `the limit grows with fast first bytes once the target says it is warm`() {
+            repeat(40) { serve(50.milliseconds) }
+            assertEquals(2, fixture.admission.report().limit)
+
+            fixture.admission.targetReported(TargetReport(0, 0, warm = true))
+            repeat(24) { serve(50.milliseconds) }
+            assertEquals(8, fixture.admission.report().limit)
+        }
+
+        @Test
+        fun `a jump of first bytes halves the limit, a cold report or a loss resets it`() {
+            fixture.admission.targetReported(TargetReport(0, 0, warm = true))
+            repeat(24) { serve(50.milliseconds) }
+            repeat(8) { serve(2.seconds) }
+            assertEquals(4, fixture.admission.report().limit)
+
+            fixture.admission.targetReported(TargetReport(0, 0, warm = false))
+            assertEquals(2, fixture.admission.report().limit)
+
+            fixture.admission.targetReported(TargetReport(0, 0, warm = true))
+            repeat(24) { serve(50.milliseconds) }
+            fixture.offer("lost")
+            fixture.finish("lost", AttemptResult.TARGET_LOST)
+            assertEquals(2, fixture.admission.report().limit)
+            assertEquals(
+                setOf(fixture.dispatch("lost").fingerprint),
+                fixture.admission.takeCrashMarks(),
+            )
+            assertEquals(emptySet<Fingerprint>(), fixture.admission.takeCrashMarks())
+        }
+    }
+
+    @Nested
+    inner class Queueing {
+        @Test
+        fun `teams that wait get places in proportion to their shares`() {
+            val fixture = AdmissionFixture(capacity = 1, maximumQueue = 200)
+            fixture.offer("running")
+            repeat(40) { fixture.offer("large-$it", "large") }
+            repeat(40) { fixture.offer("small-$it", "small") }
+            var last = "running"
+            val order = List(40) {
+                val admitted = fixture.finish(last).single() as AdmissionEvent.Admit
+                last = admitted.attempt.request.value
+                last.substringBefore('-')
+            }
+
+            val large = order.count { it == "large" }
+            assertTrue(large in 29..31, "large got $large of 40 places")
+        }
+
+        @Test
+        fun `a burst of one team leaves places in the queue and at the target for others`() {
+            val fixture = AdmissionFixture(capacity = 16, maximumQueue = 8)
+            fixture.offer("s0", "small")
+            val burst = List(40) { fixture.offer("b$it", "large") }
+
+            assertEquals(4, burst.count { it == Queued })
+            assertEquals(Admitted, fixture.offer("s1", "small"))
+        }
+
+        @Test
+        fun `a background attempt that waited long enough goes before a newer interactive one`() {
+            val fixture = AdmissionFixture(capacity = 1)
+            fixture.offer("running")
+            fixture.offer("background", priority = Priority.BACKGROUND)
+            fixture.offer("first", priority = Priority.INTERACTIVE)
+            assertEquals(listOf(AdmissionEvent.Admit(attempt("first"))), fixture.finish("running"))
+
+            fixture.time += 4.seconds
+            fixture.offer("second", priority = Priority.INTERACTIVE)
+            fixture.renew()
+            val next = fixture.finish("first")
+            assertEquals(listOf(AdmissionEvent.Admit(attempt("background"))), next)
+        }
+
+        @Test
+        fun `a refusal estimates the wait and a timed out wait ends as not run`() {
+            val fixture = AdmissionFixture(capacity = 2, maximumQueue = 2, queueTime = 1.seconds)
+            repeat(2) { fixture.offer("run-$it") }
+            assertEquals(Queued, fixture.offer("waiting"))
+            assertEquals(Refused(NotRunReason.OVERLOADED, 2.seconds), fixture.offer("refused"))
+
+            fixture.time += 1_001.milliseconds
+            val event = assertIs<AdmissionEvent.Refuse>(fixture.admission.advance().single())
+            assertEquals(attempt("waiting"), event.attempt)
+            assertEquals(NotRunReason.QUEUE_TIMEOUT, event.reason)
+        }
+
+        @Test
+        fun `a cancelled attempt leaves the queue once`() {
+            val fixture = AdmissionFixture(capacity = 1)
+            fixture.offer("running")
+            fixture.offer("waiting")
+
+            assertTrue(fixture.admission.cancelWaiting(attempt("waiting")))
+            assertEquals(false, fixture.admission.cancelWaiting(attempt("waiting")))
+            assertEquals(emptyList(), fixture.finish("running"))
+        }
+    }
+
+    @Nested
+    inner class Properties {
+        @Test
+        fun `random histories never exceed the limits and decide each attempt once`() {
+            for (seed in 1..40) {
+                val random = Random(seed)
+                val fixture = AdmissionFixture(capacity = 5, maximumQueue = 6)
+                val running = LinkedHashSet<String>()
+                val decided = HashSet<String>()
+                fun apply(events: List<AdmissionEvent>) {
+                    for (event in events) {
+                        val name = event.attempt.request.value
+                        assertTrue(decided.add(name), "seed $seed: $name decided twice")
+                        if (event is AdmissionEvent.Admit) running += name
+                    }
+                }
+                repeat(400) { step ->
+                    when (random.nextInt(4)) {
+                        0, 1 -> {
+                            val name = "r$step"
+                            val team = if (random.nextBoolean()) "large" else "small"
+                            val decision = fixture.offer(name, team)
+                            if (decision == Admitted) running += name
+                            if (decision != Queued) decided += name
+                        }
+
+                        2 -> running.randomOrNull(random)?.let {
+                            running -= it
+                            apply(fixture.finish(it))
+                        }
+
+                        else -> {
+                            fixture.time += random.nextInt(2_500).milliseconds
+                            apply(fixture.renew())
+                        }
+                    }
+                    val report = fixture.admission.report()
+                    assertEquals(running.size, report.running, "seed $seed step $step")
+                    assertTrue(report.running <= 5 && report.queued <= 6, "seed $seed: $report")
+                }
+                running.forEach { assertNull(fixture.admission.confirm(attempt(it))) }
+            }
+        }
+    }
+}
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentRun.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentRun.kt
@@ -41,15 +41,6 @@
 import org.hibiscusproxy.retry.RetryPolicy
 import org.hibiscusproxy.retry.RetryRequest
 
-/** Figures of a fleet: Skupaj's or Volta's. */
-internal class ExperimentFleet(val name: String, val dataCenters: Int, val oneWayMillis: Double)
-
-/** What happens to an engine; a joining one is cold and has an empty cache. */
-internal enum class ChangeKind { LEAVE, CRASH, JOIN }
-
-/** A change of [engine] at a time. */
-internal class Change(val minute: Double, val engine: Int, val kind: ChangeKind)
-
 /**
  * Replays a recorded load against real decision objects and fake engines in virtual time. Reports
  * reach the leader once a second and the pool's total comes back with the lease, so a sidecar's
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/PlacementStateTest.kt
@@ -0,0 +1,230 @@
+package org.hibiscusproxy.placement
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.FleetObjects
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.Link
+import org.hibiscusproxy.model.ModelName
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.Priority
+import org.hibiscusproxy.model.RoutingRule
+import org.hibiscusproxy.model.RoutingRuleName
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.Target
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.model.Team
+import org.hibiscusproxy.model.TeamName
+import org.hibiscusproxy.protocol.LoadReport
+import org.junit.jupiter.api.Nested
+
+/** Guards what entries and sidecars remember between requests, and that all of it is bounded. */
+class PlacementStateTest {
+    private val time = TestTimeSource()
+    private val a = TargetName("a")
+    private val b = TargetName("b")
+    private val c = TargetName("c")
+
+    @Nested
+    inner class Loads {
+        private val table = LoadTable(time, expiry = 5.seconds)
+
+        @Test
+        fun `dispatches count on top of an older report and not on top of a newer one`() {
+            table.reported(a, LoadReport(3, 0, 16))
+            table.dispatched(a)
+            assertEquals(LoadReport(4, 0, 16), table.loadOf(a))
+
+            table.reported(a, LoadReport(4, 0, 16))
+            assertEquals(LoadReport(4, 0, 16), table.loadOf(a))
+        }
+
+        @Test
+        fun `an expired report leaves the entry's own dispatches`() {
+            table.reported(a, LoadReport(9, 2, 16))
+            table.dispatched(a)
+            time += 6.seconds
+            assertEquals(6.seconds, table.ageOf(a))
+            assertEquals(LoadReport(running = 1), table.loadOf(a))
+
+            table.finished(a)
+            assertNull(table.loadOf(a))
+        }
+    }
+
+    @Nested
+    inner class Filter {
+        private val service = ServiceName("chat")
+        private val near = DataCenterName("near")
+        private val far = DataCenterName("far")
+        private val address = NetworkAddress("127.0.0.1", 1)
+        private val m = ModelName("m")
+        private val state = FleetState(
+            objects = FleetObjects(
+                teams = listOf(Team(TeamName("t"), defaultPriority = Priority.INTERACTIVE)),
+                links = listOf(Link(far, near, 1.5)),
+                targets = listOf(
+                    Target(a, service, near, address, listOf(m), listOf(ModelName("x"))),
+                    Target(b, service, far, address, listOf(m)),
+                    Target(c, service, near, address, listOf(ModelName("other"))),
+                ),
+                routingRules = listOf(
+                    RoutingRule(
+                        RoutingRuleName("batch"),
+                        service,
+                        TeamName("batch"),
+                        dataCenters = listOf(far),
+                        priority = Priority.BACKGROUND,
+                    ),
+                ),
+            ),
+        )
+        private val request = RoutedRequest(TeamName("t"), service, m)
+
+        private fun select(request: RoutedRequest, state: FleetState = this.state) =
+            TargetFilter(state, near).select(request, LoadTable(time))
+
+        @Test
+        fun `model, adapter and rule narrow the targets and set priority and distance`() {
+            val all = select(request)
+            assertEquals(listOf(a, b), all.names)
+            assertEquals(
+                listOf(0.milliseconds, 1.5.milliseconds),
+                all.candidates.map {
+                    it.distance
+                },
+            )
+            assertEquals(Priority.INTERACTIVE, all.priority)
+
+            assertEquals(listOf(a), select(request.copy(adapter = ModelName("x"))).names)
+            val batch = select(request.copy(team = TeamName("batch")))
+            assertEquals(listOf(b), batch.names)
+            assertEquals(Priority.BACKGROUND, batch.priority)
+        }
+
+        @Test
+        fun `targets and data centres that are out take nothing`() {
+            assertEquals(listOf(b), select(request, state.copy(targetsOut = setOf(a))).names)
+            assertEquals(listOf(a), select(request, state.copy(dataCentersOut = setOf(far))).names)
+        }
+
+        @Test
+        fun `a chat whose home moved is asked for at its former home for a time`() {
+            val without = state.copy(targetsOut = setOf(a))
+            val formerHomes = FormerHomes(time, retention = 10.minutes)
+            val policy = RendezvousPlacement()
+            val keys = List(50) { PrefixKeys.ofText("chat $it") }
+            formerHomes.replaced(TargetFilter(without, near))
+            val present = select(request).candidates
+
+            fun formers() = keys.map { formerHomes.of(request, it, policy, present) }
+            val expected = keys.map { key -> b.takeIf { policy.homeOf(key, present) == a } }
+            assertEquals(expected, formers())
+            time += 11.minutes
+            assertEquals(keys.map { null }, formers())
+        }
+    }
+
+    @Nested
+    inner class Walk {
+        private val ranked = listOf(a, b, c, TargetName("d"))
+
+        @Test
+        fun `probes go on until three refused and the last one waits at home`() {
+            val plan = RoutePlan()
+            val steps = List(4) { plan.next(ranked)!!.also { plan.refused(it.target) } }
+
+            assertEquals(listOf(a, b, c, a), steps.map { it.target })
+            assertEquals(listOf(false, false, false, true), steps.map { it.mayWait })
+        }
+
+        @Test
+        fun `a pointer is followed once and home may run the chat when it leads nowhere`() {
+            val plan = RoutePlan()
+            plan.next(ranked)
+            plan.redirected(c)
+            assertEquals(RouteStep(c, mayWait = false, followsPointer = false), plan.next(ranked))
+
+            plan.refused(c)
+            assertEquals(RouteStep(a, mayWait = false, followsPointer = false), plan.next(ranked))
+        }
+
+        @Test
+        fun `a former home is asked first and once`() {
+            val plan = RoutePlan(formerHome = b)
+
+            assertEquals(RouteStep(b, mayWait = false, onlyIfCached = true), plan.next(ranked))
+            assertEquals(RouteStep(a, mayWait = false), plan.next(ranked))
+        }
+
+        @Test
+        fun `probes are used up in a saturated fleet`() {
+            val allowance = ProbeAllowance(share = 1.0, burst = 10.0)
+            val probes = List(100) {
+                allowance.requestStarted().also { count ->
+                    repeat(count) { allowance.probeRefused() }
+                }
+            }
+
+            assertEquals(List(50) { 1 }, probes.takeLast(50))
+        }
+    }
+
+    @Nested
+    inner class Pointers {
+        @Test
+        fun `the least recently used pointer goes first and a return home removes its own`() {
+            val pointers = PlacementPointers(a, capacity = 2)
+            pointers.placed(PrefixKey(1), b)
+            pointers.placed(PrefixKey(2), c)
+            pointers.whereIs(PrefixKey(1))
+            pointers.placed(PrefixKey(3), b)
+            assertEquals(
+                listOf(b, null, b),
+                listOf(1L, 2L, 3L).map {
+                    pointers.whereIs(PrefixKey(it))
+                },
+            )
+
+            pointers.placed(PrefixKey(1), a)
+            assertNull(pointers.whereIs(PrefixKey(1)))
+            pointers.forget(b)
+            assertEquals(0, pointers.size)
+        }
+    }
+
+    @Nested
+    inner class CacheEvents {
+        private val index = CacheIndex()
+        private val key = PrefixKey(1)
+
+        @Test
+        fun `events correct what was believed and repeated pages change nothing`() {
+            index.ran(key)
+            index.event(1, CacheEvent.Removed(key))
+            index.event(2, CacheEvent.Stored(key))
+            index.event(1, CacheEvent.Removed(key))
+
+            assertEquals(CacheKnowledge.CACHED, index.knowledgeOf(key))
+        }
+
+        @Test
+        fun `a gap makes cached prefixes unknown until they are confirmed`() {
+            index.event(1, CacheEvent.Stored(key))
+            index.event(5, CacheEvent.Stored(PrefixKey(2)))
+            assertEquals(3, index.missedEvents)
+            assertEquals(CacheKnowledge.UNKNOWN, index.knowledgeOf(key))
+
+            index.ran(key)
+            assertEquals(CacheKnowledge.CACHED, index.knowledgeOf(key))
+            index.restarted()
+            assertEquals(CacheKnowledge.UNKNOWN, index.knowledgeOf(key))
+        }
+    }
+}
