Wait where the queue is short when home's is long

In churn, requests waited at a cold home with two places and timed out, and in a large burst they waited at crowded homes. The last attempt now waits at home unless another queue is shorter by half of its places.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/placement/RoutePlan.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/placement/RoutePlan.kt
@@ -26,8 +26,12 @@
     /** Targets that had no room for this request, in the order they were asked. */
     val refusals: Set<TargetName> get() = refusedBy
 
-    /** Next step over the targets as the policy ranks them at present, or null if there are none. */
-    fun next(ranked: List<TargetName>): RouteStep? {
+    /**
+     * Next step over the targets as the policy ranks them at present, or null if there are none.
+     *
+     * @param waitAt target whose queue is the shortest, or null to wait at the first one
+     */
+    fun next(ranked: List<TargetName>, waitAt: TargetName? = null): RouteStep? {
         if (ranked.isEmpty()) return null
         if (!hasAskedFormerHome) {
             hasAskedFormerHome = true
@@ -35,7 +39,7 @@
         }
         val untried = ranked.filter { it !in refusedBy }
         if (refusedBy.size >= maximumProbes || untried.isEmpty()) {
-            return step(ranked.first(), mayWait = true)
+            return step(waitAt ?: ranked.first(), mayWait = true)
         }
         val target = pointedTo?.takeIf { it in untried } ?: untried.first()
         return step(target, mayWait = untried.size == 1)
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentRun.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentRun.kt
@@ -190,7 +190,7 @@
                     allowance.requestStarted(),
                 )
             }
-            val step = call.plan.next(ranked)
+            val step = call.plan.next(ranked, selection.candidates.placeToWait(ranked))
             if (step == null) {
                 figures.refused++
                 return
