Renew the lease early while the load bound holds requests back

Cause: with three warm engines of 16 slots, 40 chats a second waited 3.0 s at the median for the first token, because the bound came from a pool total that was up to a second old: from an idle pool it allowed one request a target, and the load could grow by the multiple once a second only. Ruled out: the cold start limit (the engines ran 16 at once in the end) and the engines (tokens came every 20 ms). Change: a sidecar whose requests wait or are refused below its capacity renews at its next 100 ms tick. Conclusion: the age of the total, not its formula, was what held load back.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
@@ -72,6 +72,7 @@
         context.registry,
     )
     private val isDraining = AtomicBoolean()
+    private val wasOverloaded = AtomicBoolean()
     private val table = AttemptTable(admission, TableActions())
     private val calls = TargetCalls(target, settings.targetUrl, table::confirm, ::firstByte)
     private val loads = LoadPoller(calls)
@@ -97,6 +98,9 @@
     @Volatile
     private var hasLoadReport = false
 
+    @Volatile
+    private var capacity = 0
+
     override val isReady: Boolean get() = lease.isHeld && !isDraining.get()
 
     /** Where entries reach the sidecar; known after [start]. */
@@ -182,6 +186,7 @@
         if (state.version <= stateVersion) return
         stateVersion = state.version
         hasLoadReport = state.objects.hasLoadReport()
+        capacity = state.objects.targets.find { it.name == target }?.capacity ?: 0
         table.update {
             configure(state)
             advance()
@@ -205,9 +210,21 @@
             delay(TICK)
             lease.checkExpiry()
             table.update { advance() }
+            if (isHeldBackByBound()) lease.renewEarly()
         }
     }
 
+    /**
+     * Whether requests waited or were refused although the target itself bears more. The pool's
+     * load that came with the lease is up to a second old, and a bound computed from it would let
+     * the load of an idle pool grow by no more than its multiple each second.
+     */
+    private fun isHeldBackByBound(): Boolean {
+        val report = table.report()
+        val isHeldBack = wasOverloaded.getAndSet(false) || report.queued > 0
+        return isHeldBack && report.limit < capacity
+    }
+
     private suspend fun pollLoad() {
         while (scope.isActive) {
             if (hasLoadReport) {
@@ -240,6 +257,7 @@
         }
 
         override fun refuse(attempt: SidecarAttempt, reason: NotRunReason, retryAfter: Duration) {
+            if (reason == NotRunReason.OVERLOADED) wasOverloaded.set(true)
             context.events.record(FleetEvent.AttemptNotRun(attempt.attempt, target, reason))
             val milliseconds = retryAfter.inWholeMilliseconds
             answer(attempt, NotRun(attempt.attempt, reason, table.report(), milliseconds))
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarTest.kt
@@ -36,10 +36,12 @@
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.Incarnation
 import org.hibiscusproxy.protocol.LeaseAcknowledgement
+import org.hibiscusproxy.protocol.LeaseRequest
 import org.hibiscusproxy.protocol.NotRun
 import org.hibiscusproxy.protocol.NotRunReason
 import org.hibiscusproxy.protocol.Payload
 import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.PoolLoad
 import org.hibiscusproxy.protocol.RequestIdentifier
 import org.hibiscusproxy.protocol.ResponseBroken
 import org.hibiscusproxy.protocol.ResponseEnd
@@ -245,5 +247,18 @@
                 fleet.controller.received.any { it is LeaseAcknowledgement && it.version == 9L }
             }
         }
+
+        /** Guards against a bound from an old total that lets an idle pool's load grow slowly. */
+        @Test
+        fun `are renewed early while the load bound holds requests back`() = runBlocking {
+            fleet.controller.pool = PoolLoad(running = 0, targets = 4)
+            hold()
+            val connection = connect(start())
+            (1..2).forEach { connection.send(connection.dispatch(it)) }
+            val before = fleet.controller.received.count { it is LeaseRequest }
+            awaitUntil(700.milliseconds) {
+                fleet.controller.received.count { it is LeaseRequest } >= before + 3
+            }
+        }
     }
 }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/testing/FakeController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/testing/FakeController.kt
@@ -72,6 +72,9 @@
     @Volatile
     var leaseMilliseconds = 3_000L
 
+    @Volatile
+    var pool = PoolLoad(running = 1_000, targets = 1)
+
     /** Publishes [state] to all that asked for configuration. */
     fun publish(state: FleetState) = runBlocking {
         this@FakeController.state = state
@@ -132,7 +135,7 @@
             state.stateOf(target),
             fencingNumber = 1,
             leaseMilliseconds,
-            PoolLoad(running = 1_000, targets = 1),
+            pool,
         )
     }
 
