Close callers' connections only while their response is open

The response now keeps its connection from the beginning and closes it at most once, and only before the response has ended.

Holding the request object longer was ruled out, because Jetty reuses it without notice. The new outcomes become typed failures (answer-not-stored, attempts-used-up), and a full control state reads as not run.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerFailure.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerFailure.kt
@@ -109,6 +109,20 @@
             mayHaveRun = true,
         )
 
+        fun answerNotStored(status: Int) = CallerFailure(
+            409,
+            "answer-not-stored",
+            "an earlier request with this Idempotency-Key was answered with status $status; " +
+                "the answer was too long to keep",
+            mayHaveRun = true,
+        )
+
+        fun attemptsUsedUp() = CallerFailure(
+            409,
+            "attempts-used-up",
+            "this Idempotency-Key has used up its attempts",
+        )
+
         fun contentMismatch() = CallerFailure(
             422,
             "content-mismatch",
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerResponse.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerResponse.kt
@@ -6,6 +6,7 @@
 import jakarta.servlet.http.HttpServletResponse
 import java.io.IOException
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicBoolean
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
 import org.hibiscusproxy.protocol.Header
 
@@ -17,7 +18,7 @@
  * called; Jetty calls back without locks of its own. [done] is completed without the monitor.
  */
 internal class CallerResponse(
-    private val request: HttpServletRequest,
+    request: HttpServletRequest,
     private val response: HttpServletResponse,
     private val bufferBytes: Int,
 ) : WriteListener {
@@ -35,6 +36,10 @@
 
     private enum class Ending { OPEN, COMPLETE, ABORTED }
 
+    /** Kept from the beginning, because Jetty reuses its request objects after the end. */
+    private val endPoint = ServletContextRequest.getServletContextRequest(request)
+        .connectionMetaData.connection.endPoint
+    private val isOver = AtomicBoolean()
     private val waiting = ArrayDeque<ByteArray>()
     private var waitingBytes = 0
     private var output: ServletOutputStream? = null
@@ -78,7 +83,7 @@
     fun write(bytes: ByteArray): Accepted {
         val accepted = synchronized(this) {
             when {
-                ending != Ending.OPEN || done.isDone -> Accepted.GONE
+                ending != Ending.OPEN || isOver.get() -> Accepted.GONE
 
                 waitingBytes + bytes.size > bufferBytes && waitingBytes > 0 -> {
                     ending = Ending.ABORTED
@@ -117,7 +122,7 @@
 
     override fun onError(failure: Throwable) {
         synchronized(this) { ending = Ending.ABORTED }
-        done.complete(Unit)
+        finish()
     }
 
     private fun add(bytes: ByteArray) {
@@ -137,7 +142,7 @@
             synchronized(this) { ending = Ending.ABORTED }
             true
         }
-        if (isFinished) done.complete(Unit)
+        if (isFinished) finish()
     }
 
     /** Writes while Jetty takes bytes. Returns true when the response is finished. */
@@ -171,9 +176,14 @@
         return false
     }
 
+    private fun finish() {
+        if (isOver.compareAndSet(false, true)) done.complete(Unit)
+    }
+
+    /** Does nothing after the end, when the connection may already serve the next request. */
     private fun cutConnection() {
-        ServletContextRequest.getServletContextRequest(request)
-            .connectionMetaData.connection.endPoint.close()
+        if (!isOver.compareAndSet(false, true)) return
+        endPoint.close()
         done.complete(Unit)
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
@@ -144,6 +144,10 @@
 
             ClaimOutcome.ContentMismatch -> failed(CallerFailure.contentMismatch())
 
+            is ClaimOutcome.AnswerNotStored -> failed(CallerFailure.answerNotStored(outcome.status))
+
+            is ClaimOutcome.AttemptRefused -> failed(CallerFailure.attemptsUsedUp())
+
             is ClaimOutcome.Refused, null -> failed(CallerFailure.noController())
         }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -81,7 +81,12 @@
     val retryBudget: Double = 0.2,
     @Setting("Placement policy by name.")
     val placement: String = "bounded-affinity",
-    /** Time in a shutdown between becoming unready and refusing new requests. */
+    @Setting(
+        "Time in a shutdown between becoming unready and refusing new requests.",
+        unit = "milliseconds",
+        minimum = 0.0,
+        maximum = 60_000.0,
+    )
     val unreadyMilliseconds: Long = 1_000,
 )
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/ControllerLink.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/ControllerLink.kt
@@ -162,7 +162,11 @@
 
     private fun refusal(reason: ControlRefusal, leader: ProcessName?): Refusal? = when (reason) {
         ControlRefusal.NOT_LEADER, ControlRefusal.NO_MAJORITY -> Refusal(leader)
-        ControlRefusal.UNKNOWN_TARGET, ControlRefusal.OTHER_INCARNATION -> null
+
+        ControlRefusal.UNKNOWN_TARGET,
+        ControlRefusal.OTHER_INCARNATION,
+        ControlRefusal.FULL,
+        -> null
     }
 
     private fun ControlMessage.number(): Long? = when (this) {
