--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/SettingsPageCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/SettingsPageCommand.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.daemon.command
 
+import kotlin.system.exitProcess
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import org.hibiscusproxy.daemon.settings.SettingsPage
@@ -10,6 +11,6 @@
     Subcommand("settings-page", "Print the reference of all settings as Markdown") {
     override fun execute() {
         print(SettingsPage.render())
-        ExitCode.DONE.exit()
+        exitProcess(ExitCode.DONE.number)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/TimelineCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/TimelineCommand.kt
@@ -6,6 +6,7 @@
 import kotlin.io.path.extension
 import kotlin.io.path.isDirectory
 import kotlin.io.path.listDirectoryEntries
+import kotlin.system.exitProcess
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
@@ -35,7 +36,7 @@
             .map { it to render(it) }
             .filter { (_, line) -> request == null || request.toString() in line }
             .forEach { (_, line) -> println(line) }
-        ExitCode.DONE.exit()
+        exitProcess(ExitCode.DONE.number)
     }
 
     private fun eventFiles(path: Path): List<Path> = if (path.isDirectory()) {
@@ -48,7 +49,7 @@
         success = { it },
         failure = { failure ->
             System.err.println("timeline: $failure")
-            ExitCode.USAGE.exit()
+            exitProcess(ExitCode.USAGE.number)
         },
     )
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerFailure.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerFailure.kt
@@ -109,18 +109,18 @@
             mayHaveRun = true,
         )
 
-        fun answerNotStored(status: Int) = CallerFailure(
+        fun answerNotStored(status: Int, bytes: Int) = CallerFailure(
             409,
             "answer-not-stored",
-            "an earlier request with this Idempotency-Key was answered with status $status; " +
-                "the answer was too long to keep",
+            "the request ran with status $status; its answer of $bytes bytes was not kept",
             mayHaveRun = true,
         )
 
-        fun attemptsUsedUp() = CallerFailure(
+        fun attemptRefused() = CallerFailure(
             409,
-            "attempts-used-up",
+            "attempt-refused",
             "this Idempotency-Key has used up its attempts",
+            mayHaveRun = true,
         )
 
         fun contentMismatch() = CallerFailure(
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -54,13 +54,23 @@
     JSON,
 }
 
-/** Name and peer address of one controller. */
+/**
+ * Name and peer address of one controller.
+ *
+ * @property operators address of its operators' interface, told to operators who called another
+ *   controller than the leader; not told when null
+ */
 @Serializable
 data class ControllerAddress(
     @Setting("Name of the controller process.")
     val name: ProcessName,
     @Setting("IP number and port of its listener for processes of the fleet.")
     val address: NetworkAddress,
+    @Setting(
+        "IP number and port of its operators' interface, told to operators who called another " +
+            "controller than the leader.",
+    )
+    val operators: NetworkAddress? = null,
 )
 
 /** Settings of the entry role. */
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/Main.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/Main.kt
@@ -1,21 +1,50 @@
 package org.hibiscusproxy.standins
 
+import io.javalin.util.JavalinException
+import java.io.IOException
+import kotlin.system.exitProcess
 import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
 import org.hibiscusproxy.standins.demonstration.DemonstrationCommand
 import org.hibiscusproxy.standins.deployment.DeploymentCommand
 import org.hibiscusproxy.standins.engine.EngineCommand
+import org.hibiscusproxy.standins.faults.FaultProxyCommand
 import org.hibiscusproxy.standins.load.LoadCommand
+import org.hibiscusproxy.standins.platform.PlatformCommand
+import org.hibiscusproxy.standins.scenario.ScenarioCommand
 import org.hibiscusproxy.standins.service.ServiceCommand
+import org.hibiscusproxy.standins.weights.WeightCommand
 
 /** Starts the command line of the stand-ins and the load tool. */
+@OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
     val parser = ArgParser("hibiscusproxy-standins", strictSubcommandOptionsOrder = true)
     parser.subcommands(
         EngineCommand(),
         ServiceCommand(),
+        PlatformCommand(),
+        WeightCommand(),
+        FaultProxyCommand(),
         LoadCommand(),
         DeploymentCommand(),
         DemonstrationCommand(),
+        ScenarioCommand(),
     )
-    parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
+    try {
+        parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
+    } catch (failure: IllegalArgumentException) {
+        fail(failure.message, WRONG_USAGE_EXIT_CODE)
+    } catch (failure: JavalinException) {
+        fail(failure.cause?.message ?: failure.message, FAILURE_EXIT_CODE)
+    } catch (failure: IOException) {
+        fail(failure.message, FAILURE_EXIT_CODE)
+    }
 }
+
+private fun fail(message: String?, exitCode: Int) {
+    System.err.println("hibiscusproxy-standins: $message")
+    exitProcess(exitCode)
+}
+
+private const val FAILURE_EXIT_CODE = 1
+private const val WRONG_USAGE_EXIT_CODE = 2
