Measure the delay that entry and sidecar add

The design sets targets for added latency and memory, and nothing measured them yet. The load tool of the stand-ins was ruled out here, because it measures whole answers and cannot tell the delay of a single token.

--- /dev/null
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/measurement/DataPathMeasurement.kt
@@ -0,0 +1,122 @@
+package org.hibiscusproxy.daemon.measurement
+
+import java.io.BufferedInputStream
+import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.ThreadLocalRandom
+import kotlin.concurrent.thread
+import org.hibiscusproxy.daemon.testing.FakeController
+import org.hibiscusproxy.daemon.testing.TestFleet
+import org.hibiscusproxy.model.FleetObjects
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.Service
+import org.hibiscusproxy.model.ServiceKind
+import org.hibiscusproxy.model.Target
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.model.Team
+import org.hibiscusproxy.model.TeamName
+
+/**
+ * Measures what entry and sidecar add to the delay of tokens and of the first token, against the
+ * same target without them. Both roles run as processes of their own; the first line of output
+ * says where the controller and the target listen, and the measurement starts when the entry
+ * answers. Arguments: entry port, sidecar port, streams.
+ */
+fun main(arguments: Array<String>) {
+    val (entryPort, sidecarPort, streams) = arguments.map { it.toInt() }
+    val target = PacedTarget(tokens = 60, intervalNanoseconds = 33_000_000)
+    val controller = FakeController()
+    controller.publish(stateFor(sidecarPort, streams))
+    println("controller ${controller.address.address} target http://127.0.0.1:${target.port}")
+    while (StreamClient(entryPort, 1).run().tokens.isEmpty()) Thread.sleep(300)
+    println("warming up")
+    StreamClient(entryPort, streams).run()
+    StreamClient(target.port, streams).run()
+    repeat(5) {
+        report("direct", StreamClient(target.port, streams).run())
+        report("through", StreamClient(entryPort, streams).run())
+    }
+    println("done")
+}
+
+private fun stateFor(sidecarPort: Int, streams: Int) = FleetState(
+    1,
+    FleetObjects(
+        teams = listOf(Team(TeamName("repair"))),
+        services = listOf(
+            Service(
+                TestFleet.CHAT,
+                ServiceKind.Chat(listOf(TestFleet.MODEL)),
+                loadMultiple = 100.0,
+            ),
+        ),
+        targets = listOf(
+            Target(
+                TargetName("engine"),
+                TestFleet.CHAT,
+                TestFleet.NORTH,
+                NetworkAddress("127.0.0.1", sidecarPort),
+                models = listOf(TestFleet.MODEL),
+                capacity = streams,
+                coldCapacity = streams,
+            ),
+        ),
+    ),
+)
+
+private fun report(name: String, delays: Delays) {
+    fun List<Long>.percentile(share: Double) = this[((size - 1) * share).toInt()] / 1_000
+    val tokens = delays.tokens.sorted()
+    val first = delays.first.sorted()
+    println(
+        "$name: ${tokens.size} tokens, delay us p50 ${tokens.percentile(0.5)} " +
+            "p99 ${tokens.percentile(0.99)} max ${tokens.percentile(1.0)}; " +
+            "first token us p50 ${first.percentile(0.5)} p99 ${first.percentile(0.99)}",
+    )
+}
+
+/** Delays in nanoseconds: of each token after it was written, and of each first token. */
+class Delays {
+    val tokens = ConcurrentLinkedQueue<Long>()
+    val first = ConcurrentLinkedQueue<Long>()
+}
+
+/** Reads [streams] streams at the same time, started over one second. */
+class StreamClient(private val port: Int, private val streams: Int) {
+    fun run(): Delays {
+        val delays = Delays()
+        List(streams) {
+            thread {
+                Thread.sleep(ThreadLocalRandom.current().nextLong(1_000))
+                runCatching { Socket("127.0.0.1", port).use { read(it, delays) } }
+            }
+        }.forEach { it.join() }
+        return delays
+    }
+
+    private fun read(socket: Socket, delays: Delays) {
+        socket.tcpNoDelay = true
+        val body = TestFleet.chatBody("measure " + "x".repeat(2_000))
+        val started = System.nanoTime()
+        socket.getOutputStream().write(
+            (
+                "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Team: repair\r\n" +
+                    "Content-Length: ${body.length}\r\n\r\n$body"
+                ).encodeToByteArray(),
+        )
+        val input = BufferedInputStream(socket.getInputStream())
+        if (input.readHead()?.startsWith("HTTP/1.1 200") != true) return
+        val reader = input.bufferedReader()
+        var isFirst = true
+        while (true) {
+            val line = reader.readLine() ?: return
+            if (line == "0") return
+            if (!line.startsWith("data: ")) continue
+            val now = System.nanoTime()
+            delays.tokens += now - line.removePrefix("data: ").toLong()
+            if (isFirst) delays.first += now - started
+            isFirst = false
+        }
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/measurement/PacedTarget.kt
@@ -0,0 +1,78 @@
+package org.hibiscusproxy.daemon.measurement
+
+import java.io.BufferedInputStream
+import java.io.InputStream
+import java.io.OutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.locks.LockSupport
+import kotlin.concurrent.thread
+
+/**
+ * Target that streams [tokens] events at a fixed interval. Each event carries the monotonic clock
+ * at which it was written, so that the receiver in the same process can tell its delay.
+ */
+class PacedTarget(private val tokens: Int, private val intervalNanoseconds: Long) : AutoCloseable {
+    private val listener = ServerSocket(0, 1_000, InetAddress.getByName("127.0.0.1"))
+    val port: Int get() = listener.localPort
+
+    init {
+        thread(isDaemon = true) {
+            runCatching {
+                while (true) {
+                    val socket = listener.accept().apply { tcpNoDelay = true }
+                    thread(isDaemon = true) { runCatching { socket.use(::serve) } }
+                }
+            }
+        }
+    }
+
+    override fun close() = listener.close()
+
+    private fun serve(socket: Socket) {
+        val input = BufferedInputStream(socket.inputStream)
+        val output = socket.outputStream
+        while (true) {
+            val head = input.readHead() ?: return
+            input.readNBytes(head.contentLength())
+            if (head.startsWith("POST /v1/chat")) {
+                stream(output)
+            } else {
+                output.text("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            }
+        }
+    }
+
+    private fun stream(output: OutputStream) {
+        output.text(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                "Transfer-Encoding: chunked\r\n\r\n",
+        )
+        var next = System.nanoTime()
+        repeat(tokens) {
+            output.chunk("data: ${System.nanoTime()}\n\n")
+            next += intervalNanoseconds
+            LockSupport.parkNanos(next - System.nanoTime())
+        }
+        output.text("0\r\n\r\n")
+    }
+
+    private fun OutputStream.chunk(text: String) = text("${text.length.toString(16)}\r\n$text\r\n")
+
+    private fun OutputStream.text(text: String) = write(text.encodeToByteArray())
+}
+
+/** Reads up to the empty line after the headers; null at the end of the connection. */
+internal fun InputStream.readHead(): String? {
+    val head = StringBuilder()
+    while (!head.endsWith("\r\n\r\n")) {
+        val byte = read()
+        if (byte < 0) return null
+        head.append(byte.toChar())
+    }
+    return head.toString()
+}
+
+internal fun String.contentLength(): Int =
+    Regex("(?i)content-length: *(\\d+)").find(this)?.groupValues?.get(1)?.toInt() ?: 0
