--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -63,6 +63,15 @@
         return isRecent && isNear && peer.matchIndex >= noOperationIndex
     }
 
+    /** Whether a majority of the voters of [next] is this replica or has answered recently. */
+    fun hearsMajorityOf(next: Membership, now: ComparableTimeMark): Boolean {
+        val heard = next.voters.count { voter ->
+            val contact = if (voter == state.name) now else peers[voter]?.contact
+            contact != null && now - contact <= state.settings.electionTimeout
+        }
+        return heard >= next.majority
+    }
+
     fun receive(sender: ProcessName, reply: HeartbeatReply) {
         val peer = peers[sender] ?: return
         if (reply.tag != peerTag(state.cluster, peer.identity, state.term)) return
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipRefusal.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipRefusal.kt
@@ -29,6 +29,9 @@
     /** The member has not acknowledged recent entries or has been silent. */
     NOT_CAUGHT_UP,
 
+    /** No majority of the voters after the change has answered recently; it could not commit. */
+    MAJORITY_SILENT,
+
     /** A cluster without voters could not commit anything. */
     LAST_VOTER,
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -143,9 +143,11 @@
         // Two leaders' first changes could lead to majorities that do not overlap otherwise.
         if (!isReady) return MembershipRefusal.NOT_READY
         if (state.log.membershipIndex > state.commitIndex) return MembershipRefusal.CHANGE_PENDING
-        val refusal = state.membership.refusalOf(change)
+        state.membership.refusalOf(change)?.let { return it }
         val isEarly = change is MembershipChange.Promote && !current.isCaughtUp(change.process, now)
-        return refusal ?: MembershipRefusal.NOT_CAUGHT_UP.takeIf { isEarly }
+        if (isEarly) return MembershipRefusal.NOT_CAUGHT_UP
+        val isHeard = current.hearsMajorityOf(state.membership.after(change), now)
+        return if (isHeard) null else MembershipRefusal.MAJORITY_SILENT
     }
 
     override fun flush(now: ComparableTimeMark): List<ConsensusOutput> {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogTest.kt
@@ -182,6 +182,22 @@
             assertEquals(ConsensusRole.FOLLOWER, victim.log?.role)
         }
 
+        @Test
+        fun `a voter is not removed while the rest has no majority`() {
+            val simulation = simulation()
+            simulation.runUntilReady()
+            val (silent, healthy) = simulation.followers()
+            silent.wipe()
+            silent.restartAt = Long.MAX_VALUE
+            simulation.run(700)
+
+            assertEquals(
+                MembershipRefusal.MAJORITY_SILENT,
+                simulation.refusalOf(MembershipChange.Remove(healthy.name)),
+            )
+            assertNull(simulation.refusalOf(MembershipChange.Remove(silent.name)))
+        }
+
         @Test
         fun `a leader that removes itself leaves office after the commit`() {
             val simulation = simulation()
