--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
@@ -7,6 +7,7 @@
 import org.hibiscusproxy.daemon.command.DataCenterCommand
 import org.hibiscusproxy.daemon.command.GetCommand
 import org.hibiscusproxy.daemon.command.InstanceCommand
+import org.hibiscusproxy.daemon.command.MemberCommand
 import org.hibiscusproxy.daemon.command.RunCommand
 import org.hibiscusproxy.daemon.command.SettingsPageCommand
 import org.hibiscusproxy.daemon.command.StatusCommand
@@ -24,6 +25,7 @@
         DataCenterCommand(),
         InstanceCommand(),
         StatusCommand(),
+        MemberCommand(),
         TimelineCommand(),
         SettingsPageCommand(),
     )
