--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/placement/BoundedAffinityPlacement.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/placement/BoundedAffinityPlacement.kt
@@ -22,7 +22,7 @@
  */
 class BoundedAffinityPlacement(
     private val multiple: Double = 1.25,
-    private val groupSize: Int = 2,
+    private val groupSize: Int = 3,
     private val worth: PrefixWorth = PrefixWorth(),
 ) : PlacementPolicy {
     override fun rank(key: PrefixKey, candidates: List<PlacementCandidate>): List<TargetName> {
