Treat a returning target as cold until it reports

A target that was taken out may have restarted, but its sidecar kept the grown limit until the next load report, up to a second later. The limit now falls back when the state returns to in. Waiting for a lost connection instead was ruled out, because a drained target is often restarted with no request in flight.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/TargetAdmission.kt
@@ -69,7 +69,12 @@
         configured = found
         service?.let { loadBound = LoadBound(it.loadMultiple, it.loadFloor) }
         shares = state.objects.teams.associate { it.name to it.share }
-        this.state = found?.let { state.stateOf(it) } ?: OperationalState.OUT
+        val newState = found?.let { state.stateOf(it) } ?: OperationalState.OUT
+        // A target that was out may have restarted since its last report.
+        if (newState == OperationalState.IN && this.state == OperationalState.OUT) {
+            coldStart.fallBack()
+        }
+        this.state = newState
     }
 
     override fun renew(lease: LeaseGrant, requestedAt: ComparableTimeMark): List<AdmissionEvent> {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/TargetAdmissionTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/TargetAdmissionTest.kt
@@ -200,6 +200,19 @@
             assertEquals(8, fixture.admission.report().limit)
         }
 
+        @Test
+        fun `a target that was out is cold until it reports again`() {
+            fixture.admission.targetReported(TargetReport(0, 0, warm = true))
+            repeat(24) { serve(50.milliseconds) }
+            fixture.admission.configure(
+                fixture.state.copy(targetsOut = setOf(AdmissionFixture.TARGET)),
+            )
+            fixture.admission.configure(fixture.state)
+            repeat(24) { serve(50.milliseconds) }
+
+            assertEquals(2, fixture.admission.report().limit)
+        }
+
         @Test
         fun `a jump of first bytes halves the limit, a cold report or a loss resets it`() {
             fixture.admission.targetReported(TargetReport(0, 0, warm = true))
