--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/BodyReader.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/BodyReader.kt
@@ -7,17 +7,18 @@
 import jakarta.servlet.ServletInputStream
 import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.CompletableDeferred
+import org.hibiscusproxy.daemon.BodyBudget
 
 /** Reads one request's body without blocking, up to [limit] bytes. Jetty serialises the calls. */
 internal class BodyReader(
     private val input: ServletInputStream,
     private val limit: Int,
-    announcedLength: Long,
+    private val budget: BodyBudget,
 ) : ReadListener {
-    private val bytes = ByteArrayOutputStream(
-        announcedLength.coerceIn(INITIAL_BYTES, maxOf(INITIAL_BYTES, limit.toLong())).toInt(),
-    )
+    private val bytes = ByteArrayOutputStream()
+    private val reserved = AtomicInteger()
     private val step = ByteArray(STEP_BYTES)
 
     /** The whole body, or why there is none. */
@@ -31,6 +32,11 @@
                 body.complete(Err(CallerFailure.bodyTooLong(limit)))
                 return
             }
+            if (!budget.tryReserve(count)) {
+                body.complete(Err(CallerFailure.bodiesExceedMemory()))
+                return
+            }
+            reserved.addAndGet(count)
             bytes.write(step, 0, count)
         }
     }
@@ -43,8 +49,12 @@
         body.completeExceptionally(IOException("the caller left", failure))
     }
 
+    /** The body is not needed any more. */
+    fun release() {
+        budget.release(reserved.getAndSet(0))
+    }
+
     private companion object {
-        const val INITIAL_BYTES = 1_024L
         const val STEP_BYTES = 16_384
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerFailure.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/CallerFailure.kt
@@ -49,6 +49,9 @@
         fun bodyTooLong(limit: Int) =
             CallerFailure(413, "body-too-long", "the body is longer than $limit bytes")
 
+        fun bodiesExceedMemory() =
+            unavailable("overloaded", "this entry holds too many long requests", SHORT_WAIT)
+
         fun bodyTimeout() = CallerFailure(408, "body-timeout", "the body did not arrive in time")
 
         fun draining() = unavailable("draining", "this entry is shutting down", SHORT_WAIT)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestHandler.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestHandler.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.hibiscusproxy.daemon.BodyBudget
 import org.hibiscusproxy.daemon.RoleContext
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.Attempt
@@ -37,6 +38,7 @@
     private val scope: CoroutineScope,
 ) {
     private val numbers = AtomicLong()
+    private val bodyBudget = BodyBudget.ofHeap()
     private val inProgressCount = AtomicInteger()
     private val start = role.incarnation.value.toString(RADIX)
 
@@ -59,7 +61,7 @@
             val body = BodyReader(
                 context.req().inputStream,
                 maximumBodyBytes,
-                context.req().contentLengthLong,
+                bodyBudget,
             )
             scope.launch {
                 try {
@@ -73,6 +75,7 @@
                     LOG.error("entry: request {} failed", identifier, failure)
                     response.abort()
                 } finally {
+                    body.release()
                     inProgressCount.decrementAndGet()
                 }
             }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/AttemptTable.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/AttemptTable.kt
@@ -1,10 +1,12 @@
 package org.hibiscusproxy.daemon.sidecar
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import org.hibiscusproxy.admission.AdmissionController
 import org.hibiscusproxy.admission.AdmissionDecision
 import org.hibiscusproxy.admission.AdmissionEvent
 import org.hibiscusproxy.admission.AttemptResult
+import org.hibiscusproxy.daemon.BodyBudget
 import org.hibiscusproxy.daemon.transport.PeerConnection
 import org.hibiscusproxy.protocol.Attempt
 import org.hibiscusproxy.protocol.BrokenReason
@@ -23,6 +25,7 @@
 internal class AttemptTable(
     private val controller: AdmissionController,
     private val actions: Actions,
+    private val bodies: BodyBudget = BodyBudget.ofHeap(),
 ) {
     /** Carries decisions out; must not block. */
     interface Actions {
@@ -49,19 +52,29 @@
 
     /**
      * Decides about [dispatch]. A stale attempt number gets no answer: the earlier dispatch with
-     * that number was or will be answered, and "not run" could be wrong.
+     * that number was or will be answered, and "not run" could be wrong. An attempt whose body does
+     * not fit into memory is offered and withdrawn, so that its number stays refused.
      */
     fun offer(dispatch: Dispatch, connection: PeerConnection) {
         val attempt = SidecarAttempt(dispatch, connection)
-        val decision = synchronized(this) {
+        val hasMemory = bodies.tryReserve(dispatch.body.bytes.size)
+        val offered = synchronized(this) {
             controller.offer(dispatch).also { decision ->
-                when (decision) {
-                    AdmissionDecision.Admitted -> running[attempt.attempt] = attempt
-                    AdmissionDecision.Queued -> waiting[attempt.attempt] = attempt
-                    is AdmissionDecision.Refused -> Unit
+                when {
+                    hasMemory -> place(attempt, decision)
+                    decision is AdmissionDecision.Queued -> controller.cancelWaiting(
+                        attempt.attempt,
+                    )
                 }
             }
         }
+        if (!hasMemory && offered is AdmissionDecision.Admitted) {
+            update { finish(attempt.attempt, AttemptResult.CANCELLED) }
+        }
+        val decision = when {
+            hasMemory || offered is AdmissionDecision.Refused -> offered
+            else -> AdmissionDecision.Refused(NotRunReason.OVERLOADED, MEMORY_WAIT)
+        }
         when {
             decision is AdmissionDecision.Admitted -> actions.run(attempt)
 
@@ -74,12 +87,23 @@
         }
     }
 
+    private fun place(attempt: SidecarAttempt, decision: AdmissionDecision) = when (decision) {
+        AdmissionDecision.Admitted -> running[attempt.attempt] = attempt
+        AdmissionDecision.Queued -> waiting[attempt.attempt] = attempt
+        is AdmissionDecision.Refused -> release(attempt)
+    }
+
+    private fun release(attempt: SidecarAttempt) = bodies.release(attempt.dispatch.body.bytes.size)
+
     /** Runs [change] on the controller and carries out what follows from it. */
     fun update(change: AdmissionController.() -> List<AdmissionEvent>) {
         val decided = synchronized(this) {
             controller.change().mapNotNull { event ->
                 waiting.remove(event.attempt)?.also { attempt ->
-                    if (event is AdmissionEvent.Admit) running[event.attempt] = attempt
+                    when (event) {
+                        is AdmissionEvent.Admit -> running[event.attempt] = attempt
+                        is AdmissionEvent.Refuse -> release(attempt)
+                    }
                 }?.let { event to it }
             }
         }
@@ -98,7 +122,7 @@
 
     /** An admitted attempt ended with [result]. */
     fun finish(attempt: SidecarAttempt, result: AttemptResult) {
-        synchronized(this) { running.remove(attempt.attempt) }
+        synchronized(this) { running.remove(attempt.attempt)?.let(::release) }
         update { finish(attempt.attempt, result) }
     }
 
@@ -110,6 +134,7 @@
             waiting[attempt]
                 ?.takeIf { it.connection === connection && controller.cancelWaiting(attempt) }
                 ?.also { waiting.remove(attempt) }
+                ?.also(::release)
         }
         waitingAttempt?.let { actions.refuse(it, NotRunReason.CANCELLED, Duration.ZERO) }
         runningAttempt?.stop(BrokenReason.CANCELLED)
@@ -122,4 +147,8 @@
         }
         attempts.forEach { cancel(it.attempt, connection) }
     }
+
+    private companion object {
+        val MEMORY_WAIT = 1.seconds
+    }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/LeaseKeeper.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/LeaseKeeper.kt
@@ -7,9 +7,9 @@
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.daemon.transport.ControllerLink
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.Incarnation
@@ -52,7 +52,7 @@
     /** Starts renewing until [scope] ends. */
     fun start(scope: CoroutineScope) {
         scope.launch {
-            while (isActive) {
+            repeatGuarded("sidecar") {
                 val granted = renewOnce()
                 val pause = if (granted) RENEWAL_INTERVAL else REFUSED_INTERVAL
                 withTimeoutOrNull(pause) { renewNow.receive() }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
@@ -12,7 +12,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hibiscusproxy.admission.AdmissionController
@@ -20,6 +19,7 @@
 import org.hibiscusproxy.admission.TargetAdmission
 import org.hibiscusproxy.daemon.Role
 import org.hibiscusproxy.daemon.RoleContext
+import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.settings.SidecarSettings
 import org.hibiscusproxy.daemon.transport.ControllerLink
@@ -201,7 +201,7 @@
     }
 
     private suspend fun tick() {
-        while (scope.isActive) {
+        repeatGuarded("sidecar") {
             delay(TICK)
             lease.checkExpiry()
             table.update { advance() }
@@ -209,7 +209,7 @@
     }
 
     private suspend fun pollLoad() {
-        while (scope.isActive) {
+        repeatGuarded("sidecar") {
             if (hasLoadReport) {
                 loads.poll()?.let { report ->
                     table.update {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
@@ -38,7 +38,7 @@
     data object EntryLost : CallEnd()
 
     /** The call was stopped, or the target was lost after it may have received the request. */
-    data class Broken(val cause: IOException) : CallEnd()
+    data class Broken(val cause: Exception) : CallEnd()
 }
 
 /**
@@ -140,7 +140,7 @@
         if (!attempt.attach(call)) return CallEnd.NotRun(NotRunReason.CANCELLED)
         return try {
             call.execute().use { relay(attempt, it) }
-        } catch (failure: IOException) {
+        } catch (failure: Exception) {
             if (attempt.mayHaveRun) CallEnd.Broken(failure) else notRun(attempt)
         }
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/ControllerLink.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/ControllerLink.kt
@@ -13,9 +13,9 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.daemon.settings.ControllerAddress
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.ClaimAcknowledgement
@@ -63,7 +63,7 @@
     fun start(scope: CoroutineScope) {
         scope.launch {
             var next = 0
-            while (isActive) {
+            repeatGuarded(component) {
                 val named = controllers.indexOfFirst { it.name == preferred }
                 preferred = null
                 if (named >= 0) next = named
