Keep connections open when one turn answers a whole batch

Cause: the worker answers up to 512 messages in one turn, but a session kept only 256 answers, so that an entry with many claims in progress lost its connection. A trial with 1,024 claims in progress on one connection hung for that reason.

Ruled out: answering in smaller turns, which would undo the group commit. Also ruled out: an unbounded queue, as a process that does not read would then fill the controller's memory.

Change: a session holds 4,096 answers, as many as the inbox holds messages.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ConnectionSession.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ConnectionSession.kt
@@ -52,7 +52,11 @@
     }
 
     private companion object {
-        const val MAXIMUM_WAITING = 256
+        /**
+         * As many as the worker's inbox holds: one turn answers a whole batch, so that a smaller
+         * number would close the connection of an entry with many claims.
+         */
+        const val MAXIMUM_WAITING = 4_096
         val LOG: Logger = LoggerFactory.getLogger(ConnectionSession::class.java)
     }
 }
--- /dev/null
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ConnectionSessionTest.kt
@@ -0,0 +1,41 @@
+package org.hibiscusproxy.daemon.controller
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlinx.coroutines.channels.Channel
+import org.hibiscusproxy.daemon.transport.PeerConnection
+import org.hibiscusproxy.daemon.transport.SendFailure
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.Hello
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.LeaseRenewNow
+import org.hibiscusproxy.protocol.PeerMessage
+
+/** Guards against a connection that ends because one turn answers many of its messages. */
+class ConnectionSessionTest {
+    private var isClosed = false
+    private val connection = object : PeerConnection {
+        override val remote =
+            Hello(ProcessName("entry-1"), DataCenterName("lj"), Incarnation(1))
+        override val incoming = Channel<PeerMessage>()
+
+        override suspend fun send(message: PeerMessage): Result<Unit, SendFailure> = Ok(Unit)
+
+        override fun close() {
+            isClosed = true
+        }
+    }
+
+    @Test
+    fun `holds as many answers as the inbox holds messages, and no more`() {
+        val session = ConnectionSession(connection)
+
+        repeat(4_096) { session.send(LeaseRenewNow(it.toLong())) }
+        assertEquals(false, isClosed)
+        session.send(LeaseRenewNow(0))
+        assertEquals(true, isClosed)
+    }
+}
