Tell callers "unknown" once an attempt may have run

Ruled out: the caller's resends, because the first answer already said "not-run".

Change: an entry remembers that an attempt may have run and never promises "not-run" after it. A request that lost two targets gets no third attempt.

Measured: both new tests of WrongAnswersTest failed before ("expected: <unknown> but was: <not-run>") and hold now; DataPathTest holds.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
@@ -68,6 +68,10 @@
     private val tried = HashSet<TargetName>()
     private var attempts = 0
     private var lastFailure: CallerFailure? = null
+    private var targetsLost = 0
+
+    /** Once an attempt may have run, a later refusal cannot promise that the request did not. */
+    private var mayHaveRun = false
 
     @Volatile
     private var relay: AnswerRelay? = null
@@ -108,7 +112,13 @@
 
                 is AttemptOutcome.Broken -> {
                     if (outcome.reason == BrokenReason.SLOW_READER) return RequestEnd.CallerGone
+                    mayHaveRun = true
                     lastFailure = outcome.toFailure()
+                    if (outcome.reason == BrokenReason.TARGET_LOST &&
+                        ++targetsLost == CRASH_LIMIT
+                    ) {
+                        return giveUp(GiveUpReason.ALREADY_RELAYED.takeIf { response.hasBegun })
+                    }
                     AttemptFailure.MayHaveRun
                 }
             }
@@ -250,7 +260,7 @@
         }
     }
 
-    private fun giveUp(reason: GiveUpReason): RequestEnd = when (reason) {
+    private fun giveUp(reason: GiveUpReason?): RequestEnd = when (reason) {
         GiveUpReason.ALREADY_RELAYED -> RequestEnd.BrokenOff(lastFailure ?: CallerFailure.broken())
         GiveUpReason.CANCELLED -> RequestEnd.CallerGone
         else -> failed(lastFailure ?: CallerFailure.broken())
@@ -261,10 +271,14 @@
         else -> CallerFailure.broken()
     }
 
-    private fun failed(failure: CallerFailure): RequestEnd = RequestEnd.Failed(failure)
+    private fun failed(failure: CallerFailure): RequestEnd =
+        RequestEnd.Failed(if (mayHaveRun) failure.copy(mayHaveRun = true) else failure)
 
     private companion object {
         val DEADLINE_GRACE = 250.milliseconds
         val RELEASE_LIMIT = 5.seconds
+
+        /** A request that lost this many targets may have crashed them; it gets no third one. */
+        const val CRASH_LIMIT = 2
     }
 }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/entry/WrongAnswersTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/entry/WrongAnswersTest.kt
@@ -13,12 +13,14 @@
 import org.hibiscusproxy.daemon.testing.headOf
 import org.hibiscusproxy.daemon.transport.PeerConnection
 import org.hibiscusproxy.protocol.Attempt
+import org.hibiscusproxy.protocol.BrokenReason
 import org.hibiscusproxy.protocol.Cancel
 import org.hibiscusproxy.protocol.Dispatch
 import org.hibiscusproxy.protocol.LoadReport
 import org.hibiscusproxy.protocol.NotRun
 import org.hibiscusproxy.protocol.NotRunReason
 import org.hibiscusproxy.protocol.RequestIdentifier
+import org.hibiscusproxy.protocol.ResponseBroken
 import org.junit.jupiter.api.Nested
 
 /** The entry against a sidecar that sends late, crossed, repeated or missing messages. */
@@ -98,6 +100,33 @@
 
     @Nested
     inner class Break {
+        /** Guards against the promise "not run" after an earlier attempt may have run. */
+        @Test
+        fun `the request as unknown when a refusal follows a lost target`() {
+            start { dispatch ->
+                val isFirst = dispatch.attempt.number == 1
+                val reason = BrokenReason.TARGET_LOST.takeIf { isFirst }
+                send(
+                    reason?.let { ResponseBroken(dispatch.attempt, it, LoadReport()) }
+                        ?: NotRun(dispatch.attempt, NotRunReason.CRASHES_TARGETS, LoadReport()),
+                )
+            }
+            val answer = fleet.send(fleet.chat("a"))
+            assertEquals("unknown", answer.headers().firstValue("X-Hibiscus-Outcome").get())
+        }
+
+        /** Guards against one request that crashes target after target by its retries. */
+        @Test
+        fun `the request after the second lost target`() {
+            val sidecar = start { dispatch ->
+                send(
+                    ResponseBroken(dispatch.attempt, BrokenReason.TARGET_LOST, LoadReport()),
+                )
+            }
+            assertEquals(502, fleet.send(fleet.chat("a")).statusCode())
+            assertTrue(sidecar.received.count { it is Dispatch } <= 2)
+        }
+
         @Test
         fun `the answer when a chunk is missing`() {
             start { dispatch ->
