--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/Deployment.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/Deployment.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.standins.deployment
 
+import kotlin.time.Duration
 import org.hibiscusproxy.model.DataCenter
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.FleetObjects
@@ -62,7 +63,10 @@
         services = listOf(
             Service(chatService, ServiceKind.Chat(listOf(model))),
             Service(plainService, ServiceKind.Plain()),
-        ),
+        ).map { service ->
+            val milliseconds = builder.deadline?.inWholeMilliseconds
+            service.copy(deadlineMilliseconds = milliseconds ?: service.deadlineMilliseconds)
+        },
         dataCenters = dataCenters.map { DataCenter(it, region) },
         links = dataCenters.flatMapIndexed { index, first ->
             dataCenters.drop(index + 1).map { Link(first, it, linkMilliseconds) }
@@ -119,6 +123,9 @@
         var basePort: Int = DEFAULT_BASE_PORT
         var capacity: Int = 64
         var coldCapacity: Int = 8
+
+        /** Deadline of all services; the objects' default when null. */
+        var deadline: Duration? = null
         var teams: List<Team> = teams(large = 3, small = 7)
 
         /** Checks the parts and makes the deployment. */
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/Caller.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/Caller.kt
@@ -4,6 +4,7 @@
 import java.net.ConnectException
 import java.time.Instant
 import java.time.temporal.ChronoUnit
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.SynchronousQueue
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
@@ -31,7 +32,8 @@
 
 /**
  * Sends arrivals without waiting for earlier ones and judges the answers. Times count from the
- * planned arrival. The client never resends, so that each call is one request.
+ * planned arrival. The client itself never resends, so that each call is one request; bookings are
+ * sent again under their key when the options say so.
  */
 class Caller(
     private val options: LoadOptions,
@@ -97,12 +99,15 @@
     abstract inner class PreparedCall(private val arrival: Arrival) : Callback {
         protected var dueNanoseconds: Long = 0
         protected abstract val request: Request
+        protected var sent: Int = 0
+        private var mayHaveRun = false
+        protected open val mayResend: Boolean get() = false
 
         /** Sends the request, which was due at the monotonic time [dueNanoseconds]. */
         fun send(dueNanoseconds: Long) {
             this.dueNanoseconds = dueNanoseconds
             recorder.started(System.nanoTime() - dueNanoseconds)
-            client.newCall(request).enqueue(this)
+            sendNow()
         }
 
         override fun onFailure(call: Call, e: IOException) = finish(
@@ -141,16 +146,36 @@
             }
         }
 
+        private fun sendNow() {
+            sent++
+            client.newCall(request).enqueue(this)
+        }
+
         private fun finish(outcome: RequestOutcome) {
-            recorder.finished(labelOf(arrival), outcome)
-            finished(arrival, outcome)
+            val isAnswered = outcome is RequestOutcome.Complete || outcome is RequestOutcome.Wrong
+            mayHaveRun = mayHaveRun || (!isAnswered && outcome !is RequestOutcome.NotRun)
+            if (!isAnswered && mayResend) {
+                val later =
+                    CompletableFuture.delayedExecutor(RESEND_MILLISECONDS, TimeUnit.MILLISECONDS)
+                later.execute(::sendNow)
+                return
+            }
+            // The refusal of a resend says nothing about an earlier request under the same key.
+            val judged = if (outcome is RequestOutcome.NotRun && mayHaveRun) {
+                RequestOutcome.Unknown("resend refused: ${outcome.type}")
+            } else {
+                outcome
+            }
+            recorder.finished(labelOf(arrival), judged)
+            finished(arrival, judged)
         }
     }
 
     private inner class BookingCall(private val booking: Arrival.Booking) : PreparedCall(booking) {
         private val key = keyOf(booking)
         private val body = """{"booking": "$key", "team": "${booking.team}"}""".encodeToByteArray()
-        override val request: Request = Request.Builder()
+        override val mayResend: Boolean get() = sent <= options.bookingResends
+        override val request: Request get() = Request.Builder()
             .url("${entry()}/services/${options.bookingService}/bookings")
             .header("X-Team", booking.team)
             .header("Idempotency-Key", key)
@@ -243,6 +268,7 @@
         const val MINIMUM_THREADS = 32
         const val IDLE_THREAD_SECONDS = 5L
         const val THREAD_STACK_BYTES = 262_144L
+        const val RESEND_MILLISECONDS = 400L
         const val POOLED_CONNECTIONS = 1_024
 
         // Shorter than the servers' idle time, so that no request meets a connection being closed.
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/LoadOptions.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/LoadOptions.kt
@@ -12,6 +12,7 @@
  * @property bookingShare share of arrivals that are bookings, 0 to 1
  * @property pauseSeconds least time between two questions of one chat
  * @property chatTurns questions after which a chat is replaced by a new one
+ * @property bookingResends times that a booking which was not answered is sent again under its key
  * @property statsUrls base URLs of engines and services whose executions are checked at the end
  */
 data class LoadOptions(
@@ -34,6 +35,7 @@
     val chatTurns: Int = 8,
     val timeoutSeconds: Double = 120.0,
     val seed: Long = 1,
+    val bookingResends: Int = 0,
     val statsUrls: List<String> = emptyList(),
     val plotFile: String? = null,
 ) {
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/LoadRun.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/load/LoadRun.kt
@@ -74,9 +74,13 @@
         if (options.statsUrls.isEmpty()) return null
         val executions = HashMap<String, Int>()
         for (url in options.statsUrls) {
-            val stats = standInJson.decodeFromString<Executions>(caller.get("$url/stats"))
+            // A worker that was killed took its counts along.
+            val text = runCatching { caller.get("$url/stats") }.getOrNull() ?: continue
+            val stats = standInJson.decodeFromString<Executions>(text)
             stats.executions.forEach { (id, count) -> executions.merge(id, count, Int::plus) }
         }
+        // Entries send an attempt to an engine as the request's identifier, a dot and a number.
+        val executed = executions.keys + executions.keys.map { it.substringBeforeLast('.') }
         val refusedBookings =
             endedBookings.filter { it.second is RequestOutcome.NotRun }.map { it.first }
         val completeBookings =
@@ -84,7 +88,7 @@
         return ExecutionCheck(
             bookingsRunMoreThanOnce =
             endedBookings.map { it.first }.filter { (executions[it] ?: 0) > 1 },
-            runDespiteNotRun = (refusedBookings + refusedRequests).filter { it in executions },
+            runDespiteNotRun = (refusedBookings + refusedRequests).filter { it in executed },
             completeWithoutExecution = completeBookings.filter { it !in executions },
         )
     }
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/FaultLinks.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/FaultLinks.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.standins.scenario
 
+import kotlin.time.Duration
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.standins.deployment.AddressPlan
 import org.hibiscusproxy.standins.faults.Cut
@@ -26,11 +27,34 @@
         linksOf(process).forEach { it.apply(ProxyFaults(forward = vanish, backward = vanish)) }
     }
 
-    /** Ends the cut of [process]. */
+    /** Cuts all links between [processes] and others, except those of entries to sidecars. */
+    fun partition(processes: Set<String>) {
+        val vanish = DirectionFaults(cut = Cut.VANISH)
+        proxies.filterKeys { it.from != null && (it.from in processes) != (it.to in processes) }
+            .values.forEach { it.apply(ProxyFaults(forward = vanish, backward = vanish)) }
+    }
+
+    /** Makes bytes from and to [process] wait until [heal]; connections stay open. */
+    fun stall(process: String) {
+        val wait = DirectionFaults(cut = Cut.WAIT)
+        linksOf(process).forEach { it.apply(ProxyFaults(forward = wait, backward = wait)) }
+    }
+
+    /** Holds each byte from and to [process]. */
+    fun delay(process: String, delay: Duration, jitter: Duration) {
+        val faults = DirectionFaults(
+            delayMilliseconds = delay.inWholeMilliseconds,
+            jitterMilliseconds = jitter.inWholeMilliseconds,
+        )
+        linksOf(process).forEach { it.apply(ProxyFaults(forward = faults, backward = faults)) }
+    }
+
+    /** Ends all faults of [process]'s links. */
     fun heal(process: String) = linksOf(process).forEach { it.apply(ProxyFaults()) }
 
     override fun close() = proxies.values.forEach { it.close() }
 
     private fun linksOf(process: String): List<FaultProxy> =
         proxies.filterKeys { it.from == process || it.to == process }.values.toList()
+            .also { require(it.isNotEmpty()) { "no link of $process" } }
 }
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioCommand.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioCommand.kt
@@ -13,14 +13,18 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.cli.vararg
+import org.hibiscusproxy.standins.deployment.FreePorts
 
 /** `scenario`: runs scripts against real processes. Exit code 0 only when all hold. */
 @OptIn(ExperimentalCli::class)
 class ScenarioCommand :
     Subcommand("scenario", "Run scenario scripts against a fleet of real processes") {
     private val files by argument(ArgType.String, description = "Scripts").vararg()
-    private val basePort by option(ArgType.Int, "base-port", description = "First port")
-        .default(DEFAULT_BASE_PORT)
+    private val basePort by option(
+        ArgType.Int,
+        "base-port",
+        description = "First port; default: free ones",
+    )
     private val keep by option(ArgType.Boolean, "keep", description = "Keep logs and data")
         .default(false)
 
@@ -39,7 +43,10 @@
         println("${scenario.name}: guards against: ${scenario.guards.joinToString("; ")}")
         val folder = Files.createTempDirectory("hibiscusproxy-scenario")
         return try {
-            ScenarioRunner(folder, basePort, ::println).use { it.run(scenario) }
+            FreePorts.take().use { ports ->
+                val base = basePort ?: ports.base
+                ScenarioRunner(folder, base, ::println).use { it.run(scenario) }
+            }
             println("${scenario.name}: holds")
             true
         } catch (failure: ScenarioFailure) {
@@ -49,8 +56,4 @@
             if (keep) println("kept $folder") else folder.deleteRecursively()
         }
     }
-
-    private companion object {
-        const val DEFAULT_BASE_PORT = 23_000
-    }
 }
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioOperator.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioOperator.kt
@@ -9,9 +9,11 @@
 import org.hibiscusproxy.daemon.command.CallResult
 import org.hibiscusproxy.daemon.command.OperatorClient
 import org.hibiscusproxy.daemon.controller.ChangeReport
+import org.hibiscusproxy.daemon.controller.MemberBody
 import org.hibiscusproxy.daemon.controller.OperatorJson
 import org.hibiscusproxy.daemon.controller.PublishBody
 import org.hibiscusproxy.daemon.controller.StateBody
+import org.hibiscusproxy.daemon.controller.StatusReport
 import org.hibiscusproxy.daemon.transport.FleetKey
 import org.hibiscusproxy.model.FleetObjects
 import org.hibiscusproxy.model.FleetState
@@ -41,6 +43,26 @@
         return accepted(post(client, "/$collection/$name/$state", text))
     }
 
+    /** Publishes [objects] based on [basedOn] without waiting until they are effective. */
+    fun publishOnly(objects: FleetObjects, basedOn: Long): ChangeOutcome =
+        publish(client, objects, basedOn, Duration.ZERO).outcome
+
+    /** Status as the leader gives it; null while there is none. */
+    fun leaderStatus(): StatusReport? = controllers.firstNotNullOfOrNull { controller ->
+        OperatorClient(listOf(controller), key, STATUS_PATIENCE).use { single ->
+            (single.call("GET", "/status") as? CallResult.Answered)
+                ?.let { OperatorJson.format.decodeFromString(StatusReport.serializer(), it.body) }
+                ?.takeIf { it.name == it.leader }
+        }
+    }
+
+    /** Changes the members of the controllers' cluster; false when that was refused. */
+    fun member(body: MemberBody): Boolean {
+        val text = OperatorJson.format.encodeToString(MemberBody.serializer(), body)
+        val result = client.call("POST", "/members", text)
+        return result is CallResult.Answered && result.status == OK
+    }
+
     /** The fleet's state as the leader has it. */
     fun state(): FleetState = when (val result = client.call("GET", "/state")) {
         is CallResult.Answered ->
@@ -50,18 +72,29 @@
 
     override fun close() = client.close()
 
-    private fun publish(client: OperatorClient, objects: FleetObjects, basedOn: Long) = post(
+    private fun publish(
+        client: OperatorClient,
+        objects: FleetObjects,
+        basedOn: Long,
+        wait: Duration = EFFECTIVE_WAIT,
+    ) = post(
         client,
         "/objects",
         OperatorJson.format.encodeToString(
             PublishBody.serializer(),
             PublishBody(nextChange(), basedOn, objects),
         ),
+        wait,
     )
 
-    private fun post(client: OperatorClient, path: String, body: String): ChangeReport {
-        val wait = EFFECTIVE_WAIT.inWholeSeconds
-        return when (val result = client.call("POST", "$path?wait=$wait", body, EFFECTIVE_WAIT)) {
+    private fun post(
+        client: OperatorClient,
+        path: String,
+        body: String,
+        wait: Duration = EFFECTIVE_WAIT,
+    ): ChangeReport {
+        val query = "?wait=${wait.inWholeSeconds}"
+        return when (val result = client.call("POST", path + query, body, wait)) {
             is CallResult.Answered ->
                 OperatorJson.format.decodeFromString(ChangeReport.serializer(), result.body)
             else -> error("change not answered: $result")
@@ -79,5 +112,7 @@
     private companion object {
         val PATIENCE: Duration = 20.seconds
         val EFFECTIVE_WAIT: Duration = 10.seconds
+        const val OK = 200
+        val STATUS_PATIENCE: Duration = Duration.ZERO
     }
 }
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioParser.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioParser.kt
@@ -41,7 +41,7 @@
         val action = ScenarioStep.ProcessAction.entries.find { it.word == verb }
         val step = when {
             verb == "start" && words.isAtEnd -> ScenarioStep.StartAll
-            action != null -> ScenarioStep.Act(action, words.next("a process"))
+            action != null -> ScenarioStep.Act(action, words.processes())
             else -> otherStep(verb, words)
         }
         words.expectEnd()
@@ -61,6 +61,24 @@
             isOut = verb == "out",
         )
         "race" -> ScenarioStep.Race(words.rest())
+        "partition" -> ScenarioStep.Partition(words.processes())
+        "delay" -> ScenarioStep.Delay(
+            words.next("a process"),
+            words.duration(),
+            Duration.parse(words.after("jitter")),
+        )
+        "change" -> ScenarioStep.Change(words.next("a count").whole("count"))
+        "kill-leader" -> ScenarioStep.KillLeader(
+            words.next("a count").whole("count"),
+            words.after("seed").whole("seed").toLong(),
+        )
+        "kill-at-random" -> ScenarioStep.KillAtRandom(
+            words.next("a count").whole("count"),
+            words.after("seed").whole("seed").toLong(),
+            words.processes(),
+        )
+        "poison" -> ScenarioStep.Poison(words.next("a count").whole("count"))
+        "readmit" -> ScenarioStep.Readmit(words.next("a controller"))
         "expect" -> expectation(words)
         else -> throw IllegalArgumentException("unknown step: $verb")
     }
@@ -68,17 +86,19 @@
     private fun fleet(words: Words): ScenarioStep {
         val kind = words.next("demo, skupaj or volta")
         require(kind in setOf("demo", "skupaj", "volta")) { "unknown fleet: $kind" }
-        val options = words.options(setOf("controllers", "entries", "engine"))
+        val options = words.options(setOf("controllers", "entries", "engine", "cold", "deadline"))
         return ScenarioStep.Fleet(
             kind = kind,
             controllers = options["controllers"]?.whole("controllers"),
             entries = options["entries"]?.whole("entries"),
             engineOptions = options["engine"]?.split(',').orEmpty(),
+            coldCapacity = options["cold"]?.whole("cold"),
+            deadline = options["deadline"]?.let { Duration.parse(it) },
         )
     }
 
     private fun load(words: Words): ScenarioStep {
-        val known = setOf("rate", "for", "bookings", "streams", "tokens")
+        val known = setOf("rate", "for", "bookings", "streams", "tokens", "burst", "resends")
         val options = words.options(known)
         return ScenarioStep.Load(
             rate = options["rate"]?.decimal("rate") ?: DEFAULT_RATE,
@@ -86,6 +106,8 @@
             bookingShare = options["bookings"]?.decimal("bookings") ?: 0.0,
             streamShare = options["streams"]?.decimal("streams") ?: 1.0,
             answerTokens = options["tokens"]?.whole("tokens") ?: DEFAULT_TOKENS,
+            burst = options["burst"]?.whole("burst") ?: 0,
+            resends = options["resends"]?.whole("resends") ?: 0,
         )
     }
 
@@ -100,6 +122,14 @@
                 words.next("a data centre or target"),
                 Duration.parse(words.after("within")),
             )
+            "voter" -> ScenarioStep.ExpectVoter(
+                words.next("a controller"),
+                Duration.parse(words.after("within")),
+            )
+            "state" -> ScenarioStep.ExpectState(
+                words.next("a data centre or target"),
+                words.oneOf(listOf("in", "out")) { it } == "out",
+            )
             else -> ScenarioStep.ExpectFigure(
                 requireNotNull(ScenarioStep.Figure.entries.find { it.word == subject }) {
                     "unknown figure: $subject"
@@ -131,6 +161,9 @@
 
         fun duration(): Duration = Duration.parse(next("a time such as 4s"))
 
+        fun processes(): List<String> =
+            rest().also { require(it.isNotEmpty()) { "expected a process" } }
+
         fun rest(): List<String> = words.drop(position).also { position = words.size }
 
         fun <T> oneOf(values: List<T>, word: (T) -> String): T {
--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioRunner.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/scenario/ScenarioRunner.kt
@@ -3,6 +3,7 @@
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -36,8 +37,10 @@
     private lateinit var fleet: ProcessFleet
     private lateinit var counters: WorkCounters
     private lateinit var operator: ScenarioOperator
+    private lateinit var changes: FleetChanges
     private var load: CompletableFuture<LoadLine.Summary>? = null
     private var summary: LoadLine.Summary? = null
+    private var sampler: LoadSampler? = null
 
     /** Runs all steps; throws [ScenarioFailure] at the first one that fails. */
     fun run(scenario: Scenario) {
@@ -54,6 +57,7 @@
     }
 
     override fun close() {
+        sampler?.close()
         if (::fleet.isInitialized) fleet.close()
         if (::counters.isInitialized) counters.close()
         if (::operator.isInitialized) operator.close()
@@ -72,6 +76,15 @@
             is ScenarioStep.Operate -> operate(step)
             is ScenarioStep.Race -> race(step.controllers)
             is ScenarioStep.Act -> act(step)
+            is ScenarioStep.Partition -> links.partition(step.processes.toSet())
+            is ScenarioStep.Delay -> links.delay(step.process, step.delay, step.jitter)
+            is ScenarioStep.Change -> changes.publish(step.count)
+            is ScenarioStep.KillLeader -> changes.killLeaders(step)
+            is ScenarioStep.KillAtRandom -> killAtRandom(step)
+            is ScenarioStep.Poison -> poison(step.count)
+            is ScenarioStep.Readmit -> changes.readmit(step.controller)
+            is ScenarioStep.ExpectVoter -> changes.awaitVoter(step)
+            is ScenarioStep.ExpectState -> expectState(step)
             is ScenarioStep.ExpectNoWork -> expectNoWork(step)
             is ScenarioStep.ExpectWork -> expectWork(step)
             is ScenarioStep.ExpectFigure -> expectFigure(step)
@@ -87,11 +100,14 @@
         builder.basePort = basePort
         step.controllers?.let { builder.controllers = it }
         step.entries?.let { builder.entries = it }
+        step.coldCapacity?.let { builder.coldCapacity = it }
+        builder.deadline = step.deadline
         deployment = builder.build()
         plan = DeploymentFolder(deployment, folder, step.engineOptions, links)
         fleet = ProcessFleet(folder, plan.write())
         counters = WorkCounters(deployment)
         operator = ScenarioOperator(folder.resolve("fleet.key"), deployment.operatorAddresses)
+        changes = FleetChanges(plan.objects(), operator, fleet, report)
     }
 
     private fun publish() {
@@ -112,9 +128,14 @@
             bookingShare = step.bookingShare,
             bookingService = deployment.plainService.value,
             pauseSeconds = 1.0,
+            burst = step.burst,
+            bookingResends = step.resends,
+            statsUrls = deployment.workers.map { "http://${it.address}" },
             timeoutSeconds = LOAD_TIMEOUT.toDouble(DurationUnit.SECONDS),
         )
         summary = null
+        sampler?.close()
+        sampler = LoadSampler(deployment, counters)
         load = CompletableFuture.supplyAsync { LoadRun(options) { }.execute() }
     }
 
@@ -122,7 +143,10 @@
         val running = checkNotNull(load) { "no load runs" }
         val result = running.get(LOAD_WAIT.inWholeSeconds, TimeUnit.SECONDS)
         summary = result
+        sampler?.close()
         report("           load: ${result.outcomes}, first token ${result.durations.firstToken}")
+        result.executions?.let { report("           executions: $it") }
+        sampler?.let { report("           ${it.result}") }
         result.examples.forEach { report("           $it") }
     }
 
@@ -155,20 +179,61 @@
 
     private fun act(step: ScenarioStep.Act) {
         when (step.action) {
-            ScenarioStep.ProcessAction.KILL -> fleet.kill(step.process)
-            ScenarioStep.ProcessAction.START -> fleet.start(step.process)
-            ScenarioStep.ProcessAction.FREEZE -> fleet.freeze(step.process)
-            ScenarioStep.ProcessAction.THAW -> fleet.thaw(step.process)
-            ScenarioStep.ProcessAction.WIPE -> fleet.wipeDisk(step.process)
-            ScenarioStep.ProcessAction.CUT -> links.cut(step.process)
-            ScenarioStep.ProcessAction.HEAL -> links.heal(step.process)
-            ScenarioStep.ProcessAction.TERMINATE -> {
-                val exit = fleet.terminate(step.process)
-                check(exit == 0) { "${step.process} ended with $exit instead of 0" }
+            ScenarioStep.ProcessAction.KILL -> step.processes.forEach(fleet::kill)
+
+            ScenarioStep.ProcessAction.START -> {
+                step.processes.forEach(fleet::launch)
+                step.processes.forEach { fleet.awaitHealthy(it, START_TIME) }
+            }
+
+            ScenarioStep.ProcessAction.FREEZE -> step.processes.forEach(fleet::freeze)
+            ScenarioStep.ProcessAction.THAW -> step.processes.forEach(fleet::thaw)
+            ScenarioStep.ProcessAction.WIPE -> step.processes.forEach {
+                changes.wiped(it)
+                fleet.wipeDisk(it)
             }
+
+            ScenarioStep.ProcessAction.CUT -> step.processes.forEach(links::cut)
+            ScenarioStep.ProcessAction.STALL -> step.processes.forEach(links::stall)
+            ScenarioStep.ProcessAction.HEAL -> step.processes.forEach(links::heal)
+            ScenarioStep.ProcessAction.TERMINATE -> terminate(step.processes)
         }
     }
 
+    private fun terminate(processes: List<String>) {
+        val exits = processes
+            .map { name -> name to CompletableFuture.supplyAsync { fleet.terminate(name) } }
+            .map { (name, exit) -> name to exit.get() }
+        check(exits.all { it.second == 0 }) { "not all ended with 0: $exits" }
+    }
+
+    private fun killAtRandom(step: ScenarioStep.KillAtRandom) {
+        val random = Random(step.seed)
+        repeat(step.count) {
+            Thread.sleep(random.nextLong(LONGEST_PAUSE.inWholeMilliseconds))
+            val name = step.processes.random(random)
+            report("           kills $name")
+            fleet.kill(name)
+            fleet.start(name)
+        }
+    }
+
+    private fun poison(count: Int) {
+        val told = PoisonCaller(deployment).send(count)
+        told.forEach { report("           $it") }
+        Thread.sleep(EVENT_TIME.inWholeMilliseconds)
+        val started = FleetEvents(folder).requestsRun()
+        val ran = told.mapNotNull { it.refused }.filter { it in started }
+        check(ran.isEmpty()) { "ran although refused as not run: $ran" }
+    }
+
+    private fun expectState(step: ScenarioStep.ExpectState) {
+        val state = operator.state()
+        val isOut = state.dataCentersOut.any { it.value == step.name } ||
+            state.targetsOut.any { it.value == step.name }
+        check(isOut == step.isOut) { "${step.name} is ${if (isOut) "out" else "in"} at $state" }
+    }
+
     private fun expectNoWork(step: ScenarioStep.ExpectNoWork) {
         val before = checkNotNull(marks[step.mark]) { "no mark ${step.mark}" }
         val began = counters.begunAt(step.place, counters.begun()) -
@@ -186,7 +251,10 @@
     }
 
     private fun expectFigure(step: ScenarioStep.ExpectFigure) {
-        val found = figure(step.figure, checkNotNull(summary) { "no load has ended" })
+        val ended = checkNotNull(summary) { "no load has ended" }
+        val figures = ScenarioFigures(ended, counters, deployment, folder, fleet, sampler)
+        val found = figures.value(step.figure)
+        report("           ${step.figure.word} is $found")
         val holds = when (step.comparison) {
             ScenarioStep.Comparison.AT_MOST -> found <= step.bound
             ScenarioStep.Comparison.AT_LEAST -> found >= step.bound
@@ -195,21 +263,14 @@
         check(holds) { "${step.figure.word} is $found, not ${step.comparison.word} ${step.bound}" }
     }
 
-    private fun figure(figure: ScenarioStep.Figure, summary: LoadLine.Summary): Double =
-        when (figure) {
-            ScenarioStep.Figure.SENT -> summary.started
-            ScenarioStep.Figure.OK -> summary.outcomes.ok
-            ScenarioStep.Figure.WRONG -> summary.outcomes.wrong
-            ScenarioStep.Figure.BROKEN -> summary.outcomes.broken
-            ScenarioStep.Figure.LOST -> summary.outcomes.lost
-            ScenarioStep.Figure.NOT_RUN -> summary.outcomes.notRun.values.sum()
-            ScenarioStep.Figure.UNKNOWN -> summary.outcomes.unknown.values.sum()
-            ScenarioStep.Figure.DOUBLE -> counters.doubleExecutions()
-        }.toDouble()
-
     private companion object {
         val LOAD_TIMEOUT: Duration = 30.seconds
         val LOAD_WAIT: Duration = 180.seconds
+        val START_TIME: Duration = 30.seconds
+
+        // Processes write their events in the background.
+        val EVENT_TIME: Duration = 1.seconds
+        val LONGEST_PAUSE: Duration = 900.milliseconds
         val POLL: Duration = 100.milliseconds
     }
 }
--- a/hibiscusproxy-standins/src/test/kotlin/org/hibiscusproxy/standins/scenario/ScenarioParserTest.kt
+++ b/hibiscusproxy-standins/src/test/kotlin/org/hibiscusproxy/standins/scenario/ScenarioParserTest.kt
@@ -27,6 +27,10 @@
                 expect no-work gh-1 since quiet
                 expect work gh-1 within 10s
                 race controller-1 controller-2
+                partition controller-1 sidecar-drafting-1
+                kill-at-random 6 seed 3 entry-1 entry-2
+                expect voter controller-1 within 20s
+                expect state gh-1 out
                 expect wrong = 0
                 """.trimIndent(),
             ).getOrThrow { AssertionError(it.toString()) }
@@ -37,13 +41,20 @@
                     ScenarioStep.Fleet("volta", 3, 2, emptyList()),
                     ScenarioStep.StartAll,
                     ScenarioStep.Load(40.0, 20.seconds, 0.1, 1.0, 32),
-                    ScenarioStep.Act(ScenarioStep.ProcessAction.KILL, "controller-1"),
-                    ScenarioStep.Act(ScenarioStep.ProcessAction.START, "controller-1"),
+                    ScenarioStep.Act(
+                        ScenarioStep.ProcessAction.KILL,
+                        listOf("controller-1"),
+                    ),
+                    ScenarioStep.Act(ScenarioStep.ProcessAction.START, listOf("controller-1")),
                     ScenarioStep.Operate(ScenarioStep.Subject.DATA_CENTER, "gh-1", true),
                     ScenarioStep.Mark("quiet"),
                     ScenarioStep.ExpectNoWork("gh-1", "quiet"),
                     ScenarioStep.ExpectWork("gh-1", 10.seconds),
                     ScenarioStep.Race(listOf("controller-1", "controller-2")),
+                    ScenarioStep.Partition(listOf("controller-1", "sidecar-drafting-1")),
+                    ScenarioStep.KillAtRandom(6, 3, listOf("entry-1", "entry-2")),
+                    ScenarioStep.ExpectVoter("controller-1", 20.seconds),
+                    ScenarioStep.ExpectState("gh-1", true),
                     ScenarioStep.ExpectFigure(
                         ScenarioStep.Figure.WRONG,
                         ScenarioStep.Comparison.EQUAL,
