Report an answer that was stopped while it was read as broken

Cause: in scenario crossed-and-late-answers entries recorded 424 answers as complete while callers found 413 complete. The 11 others ended 4.00 to 4.04 s after they began, at the deadline of 4 s, after as little as 81 ms at the engine, and carried neither an end mark nor an error event. Ruled out: the entry, whose own deadline is 250 ms later, and the sidecar's cancel at the engine, which is sent only after the call has ended. A test with 60 streams of a plain HTTP server did not show it, so the proof is the scenario.

Change: when the body has ended, a call that was cancelled or whose deadline has passed counts as broken.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarAttempt.kt
@@ -37,6 +37,10 @@
 
     private var call: Call? = null
 
+    /** Whether its call was cancelled, by the sidecar or by its deadline. */
+    val isOver: Boolean
+        @Synchronized get() = call?.isCanceled() == true || remaining <= Duration.ZERO
+
     /** Returns false when the attempt was stopped before its call existed. */
     @Synchronized
     fun attach(call: Call): Boolean {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
@@ -195,6 +195,8 @@
             val chunk = ResponseChunk(attempt.attempt, chunks++, Payload(bytes))
             if (!runBlocking { attempt.connection.send(chunk) }.isOk) return CallEnd.EntryLost
         }
+        // A call that was cancelled or timed out while it was read can look like a regular end.
+        if (attempt.isOver) return CallEnd.Broken(IOException("stopped while the answer was read"))
         return CallEnd.Complete(chunks)
     }
 
