Round the timeout of a target call up to the deadline

Cause: the timeout was the remaining time cut to whole milliseconds, so it could fire up to 1 ms before the deadline. The sidecar then reported the loss of its target instead of the deadline and gave the request a crash mark. SidecarTest failed once in one run with "expected: <DEADLINE> but was: <TARGET_LOST>".

Change: the timeout is one millisecond longer.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
@@ -136,7 +136,8 @@
         if (remaining <= 0) return CallEnd.NotRun(NotRunReason.DEADLINE)
         val http = if (attempt.dispatch.repeatable) client else clientWithoutReuse
         val call = http.newCall(request)
-        call.timeout().timeout(remaining, TimeUnit.MILLISECONDS)
+        // Rounded up: a timeout before the deadline would look like the loss of the target.
+        call.timeout().timeout(remaining + 1, TimeUnit.MILLISECONDS)
         if (!attempt.attach(call)) return CallEnd.NotRun(NotRunReason.CANCELLED)
         return try {
             call.execute().use { relay(attempt, it) }
