Keep dead engines out of the walk and bound the pool at a new leader

Ruled out: a longer memory in the link, since the sidecar itself answers. Change: a refused connection reports a limit of 0, which entries leave out until the report expires; while leases of an earlier leader may run, targets without a report count as idle.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RouteWalk.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RouteWalk.kt
@@ -31,9 +31,7 @@
         val snapshot = context.view.current ?: return null
         val selection = snapshot.filter.select(request.routed, context.loads)
         home = context.placement.homeOf(request.key, selection.candidates)
-        // A target that failed is asked again only when all others have failed too.
-        val candidates = selection.candidates.filter { it.target.name !in avoided }
-            .ifEmpty { selection.candidates.also { avoided.clear() } }
+        val candidates = usable(selection.candidates)
         val ranked = context.placement.rank(request.key, candidates)
         val plan = plan ?: newPlan(candidates).also { plan = it }
         val step = plan.next(ranked, candidates.placeToWait(ranked)) ?: return null
@@ -42,6 +40,16 @@
         return Choice(target, selection.priority, step, untried)
     }
 
+    /**
+     * Leaves out targets that take nothing at present, and targets that failed this request until
+     * all others have failed too.
+     */
+    private fun usable(candidates: List<PlacementCandidate>): List<PlacementCandidate> {
+        val remaining = candidates.filter { it.target.name !in avoided }
+            .ifEmpty { candidates.also { avoided.clear() } }
+        return remaining.filterNot { context.loads.isClosed(it.target.name) }.ifEmpty { remaining }
+    }
+
     /**
      * Takes note that [choice] did not run.
      *
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
@@ -49,6 +49,7 @@
 import org.hibiscusproxy.protocol.Fingerprint
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.LeaseRenewNow
+import org.hibiscusproxy.protocol.LoadReport
 import org.hibiscusproxy.protocol.NotRun
 import org.hibiscusproxy.protocol.NotRunReason
 import org.hibiscusproxy.protocol.PeerMessage
@@ -305,7 +306,7 @@
                 context.events.record(
                     FleetEvent.AttemptNotRun(attempt.attempt, target, end.reason),
                 )
-                answer(attempt, NotRun(attempt.attempt, end.reason, table.report()))
+                answer(attempt, NotRun(attempt.attempt, end.reason, reportAfter(end.reason)))
             }
 
             is CallEnd.Broken -> broken(attempt, end)
@@ -314,6 +315,12 @@
         }
     }
 
+    /** A target that refuses connections takes nothing, whatever its limit is. */
+    private fun reportAfter(reason: NotRunReason): LoadReport {
+        val report = table.report()
+        return if (reason == NotRunReason.TARGET_UNREACHABLE) report.copy(limit = 0) else report
+    }
+
     private fun CallEnd.result(attempt: SidecarAttempt): AttemptResult = when (this) {
         is CallEnd.Complete -> AttemptResult.COMPLETED
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/LeaseGranter.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/LeaseGranter.kt
@@ -147,7 +147,7 @@
             state = state.fleet.stateOf(target),
             fencingNumber = fencingNumber,
             durationMilliseconds = settings.duration.inWholeMilliseconds,
-            pool = loads.pool(target.service, index, now),
+            pool = loads.pool(target.service, index, now, countsUnknown = now < earlierLeasesEnd),
         )
     }
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/PoolLoads.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/PoolLoads.kt
@@ -28,22 +28,39 @@
         reports[target.name] = ReportedLoad(load.running, maxOf(leaseEnd, now + settings.reportAge))
     }
 
-    /** Load over the targets of [service] that take new work, up to [SUM_AGE] old. */
-    fun pool(service: ServiceName, index: TargetIndex, now: ComparableTimeMark): PoolLoad {
+    /**
+     * Load over the targets of [service] that take new work, up to [SUM_AGE] old.
+     *
+     * @param countsUnknown whether targets without a report count as idle, which makes the bound
+     *   tighter; without them the first target to renew at a new leader would look like a pool of
+     *   one, which has no bound
+     */
+    fun pool(
+        service: ServiceName,
+        index: TargetIndex,
+        now: ComparableTimeMark,
+        countsUnknown: Boolean,
+    ): PoolLoad {
         val present = sums[service]
         if (present != null && present.index === index && now - present.at < SUM_AGE) {
             return present.load
         }
-        return sum(service, index, now).also { sums[service] = PoolSum(it, index, now) }
+        return sum(service, index, now, countsUnknown)
+            .also { sums[service] = PoolSum(it, index, now) }
     }
 
-    private fun sum(service: ServiceName, index: TargetIndex, now: ComparableTimeMark): PoolLoad {
+    private fun sum(
+        service: ServiceName,
+        index: TargetIndex,
+        now: ComparableTimeMark,
+        countsUnknown: Boolean,
+    ): PoolLoad {
         var running = 0
         var targets = 0
         for (name in index.targetsIn[service].orEmpty()) {
-            val report = reports[name] ?: continue
-            if (report.countsUntil <= now) continue
-            running += report.running
+            val report = reports[name]?.takeIf { it.countsUntil > now }
+            if (report == null && !countsUnknown) continue
+            running += report?.running ?: 0
             targets += 1
         }
         return PoolLoad(running, targets)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/placement/LoadTable.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/placement/LoadTable.kt
@@ -50,6 +50,14 @@
     @Synchronized
     fun ageOf(target: TargetName): Duration? = rows[target]?.reportedAt?.elapsedNow()
 
+    /** Whether [target] lately reported that it takes nothing, as when its engine is down. */
+    @Synchronized
+    fun isClosed(target: TargetName): Boolean {
+        val row = rows[target] ?: return false
+        val report = row.report?.takeIf { row.reportedAt!!.elapsedNow() <= expiry }
+        return report != null && report.limit == 0
+    }
+
     /** Load of [target] as far as this entry knows it, or null if it knows nothing. */
     @Synchronized
     fun loadOf(target: TargetName): LoadReport? {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/LeaseGranterTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/LeaseGranterTest.kt
@@ -201,6 +201,16 @@
             assertEquals(PoolLoad(5, 2), granted("t3", running = 3).pool)
         }
 
+        /** Guards against a new leader whose first target looks like a pool without a bound. */
+        @Test
+        fun `counts targets without a report as idle while earlier leases may run`() {
+            state.change(publish("a", basedOn = 0))
+            assertEquals(PoolLoad(4, 3), granted("t1", running = 4).pool)
+            time += settings.earlierLeases
+
+            assertEquals(PoolLoad(5, 1), granted("t1", running = 5).pool)
+        }
+
         @Test
         fun `leaves out targets that take no new work`() {
             publishAndWaitOutEarlierLeases()
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/PlacementStateTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/PlacementStateTest.kt
@@ -2,7 +2,9 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -45,6 +47,18 @@
             assertEquals(LoadReport(4, 0, 16), table.loadOf(a))
         }
 
+        /** Guards against retries that are spent on a target whose engine is down. */
+        @Test
+        fun `a target that reported a limit of zero is closed until the report expires`() {
+            table.reported(a, LoadReport(0, 0, 0))
+            assertTrue(table.isClosed(a))
+            table.dispatched(b)
+            assertFalse(table.isClosed(b))
+
+            time += 6.seconds
+            assertFalse(table.isClosed(a))
+        }
+
         @Test
         fun `an expired report leaves the entry's own dispatches`() {
             table.reported(a, LoadReport(9, 2, 16))
