Send orders to engines through the sidecar, with fencing

Cause: operators could not order an engine to load a model or to change its role, and nothing kept an order of a replaced sidecar from taking effect after those of its successor.

Ruled out: keeping orders in the replicated log, because the sidecar alone can tell whether an order was sent; and controller memory of orders, because it is lost with the leader. The order number is a hash of the change identifier instead, so that every leader gives a resend the same number.

Change: `EngineOrder` and `EngineOrderResult` with typed outcomes; the sidecar checks its lease on the open connection right before the first byte and remembers the outcome per number; the leader forwards `POST /targets/{name}/orders` to the present incarnation's session and answers "outcome unknown" after 12 s.

A test found that `withContext` kept the receiving thread of the connection during the call, so that the call is dispatched by `async`.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -17,6 +17,7 @@
 import org.hibiscusproxy.protocol.ConsensusEnvelope
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.CrashReport
+import org.hibiscusproxy.protocol.EngineOrderResult
 import org.hibiscusproxy.protocol.LeaseAcknowledgement
 import org.hibiscusproxy.protocol.LeaseRequest
 import org.hibiscusproxy.protocol.PeerMessage
@@ -46,6 +47,7 @@
     private val claims = ClaimService(log, leadership, proposals, time)
     private val subscriptions = Subscriptions(state, time)
     private val platform = PlatformService(state, leadership, proposals, time)
+    private val orders = OrderService(state, leases, time)
     private val operators = OperatorService(
         name,
         log,
@@ -53,6 +55,7 @@
         leadership,
         proposals,
         subscriptions,
+        orders,
         recorder,
         time,
     )
@@ -91,6 +94,7 @@
         log.flush(time.markNow()).forEach(::act)
         announce()
         operators.advance()
+        orders.advance()
         isLeading = leadership.active() != null
         val now = time.markNow()
         prune(now)
@@ -107,6 +111,7 @@
             is ClaimRelease -> claims.release(session, message)
             is ClaimCompletion -> claims.complete(session, message)
             is CrashReport -> crashed(message)
+            is EngineOrderResult -> orders.received(session, message)
             else -> LOG.warn("controller: unexpected {}", message::class.simpleName)
         }
     }
@@ -147,6 +152,7 @@
         proposals.leadershipChanged(term.takeIf { isLeader })
         isExpiryProposed = false
         operators.leadershipChanged()
+        orders.leadershipChanged()
         if (isLeader) {
             recorder.record(FleetEvent.LeaderElected(name, term))
         }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/LeaseService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/LeaseService.kt
@@ -5,6 +5,7 @@
 import org.hibiscusproxy.control.AllocateFencingNumber
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.LeaseDecision
+import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.ControlRefusal
 import org.hibiscusproxy.protocol.LeaseAcknowledgement
 import org.hibiscusproxy.protocol.LeaseRefusal
@@ -43,6 +44,14 @@
         holders.remove(session)
     }
 
+    /** Connection of the sidecar of [target] that the present fencing number belongs to. */
+    fun presentHolder(target: TargetName): PeerSession? {
+        val present = state.presentIncarnation(target) ?: return null
+        return holders.lastOrNull {
+            it.remote.target == target && it.remote.incarnation == present
+        }
+    }
+
     /** Asks all holders of leases to renew them, because [version] is in the state. */
     fun announce(version: Long) {
         if (leadership.active() == null) return
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorMessages.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorMessages.kt
@@ -9,6 +9,7 @@
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.OrderOutcome
 
 /** JSON form of the operators' interface, on both sides. */
 object OperatorJson {
@@ -27,6 +28,23 @@
 @Serializable
 data class StateBody(val change: ChangeIdentifier, val basedOn: Long? = null)
 
+/**
+ * Body of `POST /targets/{name}/orders`.
+ *
+ * @property change identifies the order; a resend with the same identifier does not run again
+ *   while the target's sidecar has not restarted
+ */
+@Serializable
+data class OrderBody(val change: ChangeIdentifier, val kind: String, val value: String)
+
+/** Answer to `POST /targets/{name}/orders`. */
+@Serializable
+data class OrderReport(
+    val change: ChangeIdentifier,
+    val target: TargetName,
+    val outcome: OrderOutcome,
+)
+
 /** Body of `POST /members`. */
 @Serializable
 data class MemberBody(
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorRequest.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorRequest.kt
@@ -7,6 +7,7 @@
 import org.hibiscusproxy.control.FleetInstant
 import org.hibiscusproxy.model.FleetState
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.TargetName
 
 /** An operator's call as the worker takes it. */
 internal sealed class OperatorRequest {
@@ -23,6 +24,14 @@
     /** Return this replica's status. */
     data object ReadStatus : OperatorRequest()
 
+    /** Pass an order on to the engine of [target]. */
+    class Order(
+        val change: ChangeIdentifier,
+        val target: TargetName,
+        val kind: String,
+        val value: String,
+    ) : OperatorRequest()
+
     /** Change the members of the log's cluster. */
     class ChangeMembers(val change: MembershipChange) : OperatorRequest()
 }
@@ -38,6 +47,9 @@
     /** This replica's status. */
     class Status(val report: StatusReport) : OperatorReply()
 
+    /** Outcome of an order. */
+    class Order(val report: OrderReport) : OperatorReply()
+
     /** Not done, or not known whether done. */
     class Failed(
         val type: OperatorErrorType,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
@@ -20,6 +20,8 @@
 import org.hibiscusproxy.model.OperationalState
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.NotSentReason
+import org.hibiscusproxy.protocol.OrderOutcome
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -55,6 +57,7 @@
         routes.post("/objects", ::publish)
         routes.get("/state") { answer(it, OperatorRequest.ReadState) }
         routes.post("/data-centers/{name}/{state}", ::setDataCenter)
+        routes.post("/targets/{name}/orders", ::order)
         routes.post("/targets/{name}/{state}", ::setTarget)
         routes.get("/changes/{change}", ::readChange)
         routes.get("/status") { answer(it, OperatorRequest.ReadStatus) }
@@ -117,15 +120,32 @@
         answer(context, request)
     }
 
+    private fun order(context: Context) {
+        val body = body(context, OrderBody.serializer())
+        val target = TargetName(context.pathParam("name"))
+        check(body.change)
+        if (!KIND_PATTERN.matches(body.kind)) {
+            throw badRequest("kind must be 1 to 100 small letters, digits, hyphens: ${body.kind}")
+        }
+        if (body.value.length > MAXIMUM_VALUE_LENGTH) {
+            throw badRequest("value must have at most $MAXIMUM_VALUE_LENGTH characters")
+        }
+        answer(context, OperatorRequest.Order(body.change, target, body.kind, body.value))
+    }
+
     private fun change(
         context: Context,
         identifier: ChangeIdentifier,
         build: (FleetInstant) -> ChangeCommand,
     ): OperatorRequest {
+        check(identifier)
+        return OperatorRequest.Change(wait(context), build)
+    }
+
+    private fun check(identifier: ChangeIdentifier) {
         if (!IDENTIFIER_PATTERN.matches(identifier.value)) {
             throw badRequest("change must be 1 to 100 letters, digits, dots, hyphens: $identifier")
         }
-        return OperatorRequest.Change(wait(context), build)
     }
 
     private fun readChange(context: Context) {
@@ -158,6 +178,11 @@
                 write(context, ChangeReport.serializer(), reply.report)
             }
 
+            is OperatorReply.Order -> {
+                context.status(statusOf(reply.report.outcome))
+                write(context, OrderReport.serializer(), reply.report)
+            }
+
             is OperatorReply.State -> write(context, FleetState.serializer(), reply.fleet)
             is OperatorReply.Status -> write(context, StatusReport.serializer(), reply.report)
             is OperatorReply.Failed -> {
@@ -184,6 +209,17 @@
         is ChangeOutcome.UnknownObject -> 404
     }
 
+    private fun statusOf(outcome: OrderOutcome): Int = when (outcome) {
+        is OrderOutcome.Accepted -> 200
+
+        is OrderOutcome.RefusedByEngine -> 409
+
+        is OrderOutcome.NotSent ->
+            if (outcome.reason == NotSentReason.NUMBER_REUSED) 409 else 503
+
+        OrderOutcome.Unknown -> 504
+    }
+
     private fun <T> body(context: Context, serializer: KSerializer<T>): T = try {
         OperatorJson.format.decodeFromString(serializer, context.body())
     } catch (failure: SerializationException) {
@@ -215,6 +251,8 @@
         const val MAXIMUM_THREADS = 16
         const val MINIMUM_THREADS = 4
         const val NOT_FOUND = 404
+        const val MAXIMUM_VALUE_LENGTH = 4_096
+        val KIND_PATTERN = Regex("[a-z0-9-]{1,100}")
         val IDENTIFIER_PATTERN = Regex("[A-Za-z0-9._-]{1,100}")
         val LOG: Logger = LoggerFactory.getLogger(OperatorServer::class.java)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorService.kt
@@ -23,6 +23,7 @@
     private val leadership: Leadership,
     private val proposals: Proposals,
     private val subscriptions: Subscriptions,
+    private val orders: OrderService,
     private val recorder: EventRecorder,
     private val time: TimeSource.WithComparableMarks,
 ) {
@@ -35,6 +36,7 @@
             is OperatorRequest.ReadState -> readState(reply)
             is OperatorRequest.ReadChange -> readChange(request, reply)
             is OperatorRequest.ReadStatus -> reply.complete(OperatorReply.Status(status()))
+            is OperatorRequest.Order -> order(request, reply)
             is OperatorRequest.ChangeMembers -> changeMembers(request.change, reply)
         }
     }
@@ -144,6 +146,16 @@
         return ProgressReport(version, false, null, within, targets, processes)
     }
 
+    private fun order(request: OperatorRequest.Order, reply: CompletableFuture<OperatorReply>) {
+        if (leadership.active() ==
+            null
+        ) {
+            reply.complete(notLeader())
+        } else {
+            orders.send(request, reply)
+        }
+    }
+
     private fun changeMembers(change: MembershipChange, reply: CompletableFuture<OperatorReply>) {
         val now = time.markNow()
         if (leadership.active() == null) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/LeaseKeeper.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/LeaseKeeper.kt
@@ -45,6 +45,10 @@
     /** Whether a lease is held at this moment. */
     val isHeld: Boolean @Synchronized get() = leaseEnd?.hasNotPassedNow() == true
 
+    /** The lease held at this moment, or null. */
+    val held: LeaseGrant?
+        @Synchronized get() = lease.takeIf { isHeld }
+
     /** Newest version of which both the lease and the objects are in use. */
     private val actedVersion: Long
         @Synchronized get() = minOf(lease?.version ?: 0, stateVersion)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
@@ -41,6 +41,7 @@
 import org.hibiscusproxy.protocol.CrashReport
 import org.hibiscusproxy.protocol.DataMessage
 import org.hibiscusproxy.protocol.Dispatch
+import org.hibiscusproxy.protocol.EngineOrder
 import org.hibiscusproxy.protocol.Fingerprint
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.LeaseRenewNow
@@ -85,6 +86,10 @@
     )
     private val lease =
         LeaseKeeper(target, context.incarnation, link, table, context.events)
+    private val orders = OrderDesk(
+        context.incarnation,
+        OrderCall(settings.targetUrl, ORDER_TIME, lease::held, isDraining::get),
+    ) { link.tell(it) }
     private val crashes = CrashCollector(scope, ::reportCrash)
     private val duplicates = Counter.builder("hibiscus.sidecar.duplicates")
         .description("Dispatches dropped because their attempt number was used before")
@@ -172,6 +177,8 @@
 
             is LeaseRenewNow -> lease.renewEarly()
 
+            is EngineOrder -> orders.take(message, scope)
+
             is CrashList -> table.update {
                 val duration = message.remainingMilliseconds.milliseconds
                 refuseFingerprints(message.fingerprints.toSet(), duration)
@@ -341,6 +348,7 @@
         private val CUT_OFF_TIME = 1.seconds
         private val LAST_SEND_TIME = 50.milliseconds
         private val CANCEL_TIME = 1.seconds
+        private val ORDER_TIME = 8.seconds
         private val LOG: Logger = LoggerFactory.getLogger(Sidecar::class.java)
 
         /** Sidecar of a process with [settings], which must have a sidecar section. */
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CoreFixture.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CoreFixture.kt
@@ -59,11 +59,14 @@
         },
     )
 
-    fun operator(request: OperatorRequest): OperatorReply {
+    fun operator(request: OperatorRequest): OperatorReply = submit(request).getNow(null)
+
+    /** Passes [request] on; its answer may come later. */
+    fun submit(request: OperatorRequest): CompletableFuture<OperatorReply> {
         val reply = CompletableFuture<OperatorReply>()
         core.handle(ControllerInput.Operator(request, reply))
         core.turn()
-        return reply.getNow(null)
+        return reply
     }
 
     fun platform(version: Long, vararg instances: PlatformInstance) {
@@ -71,11 +74,11 @@
         core.turn()
     }
 
-    fun session(process: String, target: String? = null) = RecordingSession(
+    fun session(process: String, target: String? = null, incarnation: Long = 1) = RecordingSession(
         Hello(
             ProcessName(process),
             DataCenterName("lj"),
-            Incarnation(1),
+            Incarnation(incarnation),
             target?.let(::TargetName),
         ),
     )
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarTest.kt
@@ -32,6 +32,8 @@
 import org.hibiscusproxy.protocol.BrokenReason
 import org.hibiscusproxy.protocol.CrashReport
 import org.hibiscusproxy.protocol.Dispatch
+import org.hibiscusproxy.protocol.EngineOrder
+import org.hibiscusproxy.protocol.EngineOrderResult
 import org.hibiscusproxy.protocol.Fingerprint
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.Incarnation
@@ -39,12 +41,15 @@
 import org.hibiscusproxy.protocol.LeaseRequest
 import org.hibiscusproxy.protocol.NotRun
 import org.hibiscusproxy.protocol.NotRunReason
+import org.hibiscusproxy.protocol.NotSentReason
+import org.hibiscusproxy.protocol.OrderOutcome
 import org.hibiscusproxy.protocol.Payload
 import org.hibiscusproxy.protocol.PeerMessage
 import org.hibiscusproxy.protocol.PoolLoad
 import org.hibiscusproxy.protocol.RequestIdentifier
 import org.hibiscusproxy.protocol.ResponseBroken
 import org.hibiscusproxy.protocol.ResponseEnd
+import org.hibiscusproxy.timeline.FleetEvent
 import org.junit.jupiter.api.Nested
 
 class SidecarTest {
@@ -261,4 +266,46 @@
             }
         }
     }
+
+    @Nested
+    inner class Orders {
+        private fun order(number: Long, sidecarIncarnation: Long = 1) = fleet.controller.tell(
+            EngineOrder(
+                number,
+                TargetName("desk"),
+                Incarnation(sidecarIncarnation),
+                "load-model",
+                "m",
+            ),
+        )
+
+        private fun outcomes() =
+            fleet.controller.received.filterIsInstance<EngineOrderResult>().map { it.outcome }
+
+        @Test
+        fun `reach the engine with the fencing number of the lease`() {
+            fleet.controller.fencingNumber = 5
+            start()
+            order(1)
+            awaitUntil { outcomes().isNotEmpty() }
+            assertEquals(listOf<OrderOutcome>(OrderOutcome.Accepted(5)), outcomes())
+            val body = """{"fencingNumber":5,"kind":"load-model","value":"m"}"""
+            assertEquals(listOf(body), target.callsOf("/orders").map { it.body })
+        }
+
+        /** Guards against a sidecar that acts after its lease ran out. */
+        @Test
+        fun `are not sent after the lease ran out or for another incarnation`() {
+            fleet.controller.leaseMilliseconds = 400
+            start()
+            order(1, sidecarIncarnation = 2)
+            fleet.controller.grantsLeases = false
+            awaitUntil { fleet.events.any { it is FleetEvent.LeaseExpired } }
+            order(2)
+            awaitUntil { outcomes().size == 2 }
+            val expected = listOf(NotSentReason.OTHER_INCARNATION, NotSentReason.NO_LEASE)
+            assertEquals(expected.map { OrderOutcome.NotSent(it) }, outcomes())
+            assertEquals(emptyList(), target.callsOf("/orders"))
+        }
+    }
 }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/testing/FakeController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/testing/FakeController.kt
@@ -75,6 +75,12 @@
     @Volatile
     var pool = PoolLoad(running = 1_000, targets = 1)
 
+    @Volatile
+    var fencingNumber = 1L
+
+    /** Sends [message] to all that asked for configuration. */
+    fun tell(message: ControlMessage) = runBlocking { subscribers.forEach { it.send(message) } }
+
     /** Publishes [state] to all that asked for configuration. */
     fun publish(state: FleetState) = runBlocking {
         this@FakeController.state = state
@@ -133,7 +139,7 @@
             request.target,
             state.version,
             state.stateOf(target),
-            fencingNumber = 1,
+            fencingNumber,
             leaseMilliseconds,
             pool,
         )
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/PeerMessage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/PeerMessage.kt
@@ -272,6 +272,32 @@
     @SerialName("m") val remainingMilliseconds: Long,
 ) : ControlMessage()
 
+/**
+ * An order for the engine beside a sidecar.
+ *
+ * @property number the same in each resend of the order, also by another leader
+ * @property incarnation incarnation of the sidecar that the order is meant for
+ * @property kind what to do, in the engine's words, such as `load-model`
+ */
+@Serializable
+@SerialName("oq")
+data class EngineOrder(
+    @SerialName("n") val number: Long,
+    @SerialName("t") val target: TargetName,
+    @SerialName("i") val incarnation: Incarnation,
+    @SerialName("k") val kind: String,
+    @SerialName("v") val value: String,
+) : ControlMessage()
+
+/** Outcome of the order of [target] with the same number. */
+@Serializable
+@SerialName("oa")
+data class EngineOrderResult(
+    @SerialName("n") val number: Long,
+    @SerialName("t") val target: TargetName,
+    @SerialName("o") val outcome: OrderOutcome,
+) : ControlMessage()
+
 /** A message of the replicated log, whose content belongs to the consensus package. */
 @Serializable
 @SerialName("cm")
