Stop the HTTP library from resending calls after 503 with Retry-After 0

Cause: OkHttp repeats a request by itself after a 503 whose Retry-After is 0, also with retryOnConnectionFailure(false), so a booking ran twice at its target. Ruled out: an exception on the second pass, which would lose the target's answer. Change: a network interceptor gives the header another name until OkHttp has returned the response; callers get it unchanged. Conclusion: at most once holds at this hop.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetCalls.kt
@@ -162,7 +162,7 @@
             attempt.refusal?.let { throw IOException("not confirmed: $it") }
             attempt.mayHaveRun = true
         }
-        return chain.proceed(chain.request())
+        return chain.proceed(chain.request()).withHiddenRetryAfter()
     }
 
     private fun request(attempt: SidecarAttempt): Request {
@@ -201,13 +201,38 @@
         return CallEnd.Complete(chunks)
     }
 
+    /**
+     * OkHttp sends a request again by itself after a 503 with `Retry-After: 0`, whatever its
+     * settings, so the header has another name until OkHttp has returned the response.
+     */
+    private fun Response.withHiddenRetryAfter(): Response {
+        val value = header(RETRY_AFTER) ?: return this
+        return newBuilder()
+            .removeHeader(RETRY_AFTER)
+            .addHeader(HIDDEN_RETRY_AFTER, value)
+            .build()
+    }
+
     private fun Response.endToEndHeaders(): List<Header> = headers
         .filterNot { (name, _) -> name.lowercase() in HOP_BY_HOP }
-        .map { (name, value) -> Header(name, value) }
+        .map { (name, value) ->
+            Header(
+                if (name ==
+                    HIDDEN_RETRY_AFTER
+                ) {
+                    RETRY_AFTER
+                } else {
+                    name
+                },
+                value,
+            )
+        }
 
     private companion object {
         /** Tells callers which target answered, for support questions and measurements. */
         const val TARGET_HEADER = "X-Hibiscus-Target"
+        const val RETRY_AFTER = "Retry-After"
+        const val HIDDEN_RETRY_AFTER = "X-Hibiscus-Hidden-Retry-After"
         const val MAXIMUM_CALLS = 512
         const val IDLE_THREAD_SECONDS = 10L
         const val STACK_BYTES = 262_144L
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarTest.kt
@@ -21,6 +21,7 @@
 import org.hibiscusproxy.daemon.testing.TestFleet
 import org.hibiscusproxy.daemon.testing.TestFleet.Companion.BOOKING
 import org.hibiscusproxy.daemon.testing.TestFleet.Companion.awaitUntil
+import org.hibiscusproxy.daemon.testing.answer
 import org.hibiscusproxy.daemon.transport.KtorPeerTransport
 import org.hibiscusproxy.daemon.transport.PeerConnection
 import org.hibiscusproxy.model.NetworkAddress
@@ -49,6 +50,7 @@
 import org.hibiscusproxy.protocol.RequestIdentifier
 import org.hibiscusproxy.protocol.ResponseBroken
 import org.hibiscusproxy.protocol.ResponseEnd
+import org.hibiscusproxy.protocol.ResponseHead
 import org.hibiscusproxy.timeline.FleetEvent
 import org.junit.jupiter.api.Nested
 
@@ -120,6 +122,24 @@
 
     @Nested
     inner class Attempts {
+        /** Guards against the HTTP library's silent resend after such an answer. */
+        @Test
+        fun `run once when the target asks to try again at once`() = runBlocking {
+            target.behaviour = { exchange, _ ->
+                exchange.responseHeaders.add("Retry-After", "0")
+                exchange.answer("text/plain", "busy", status = 503)
+                true
+            }
+            val connection = connect(start())
+            connection.send(connection.dispatch(1))
+            val head = withTimeout(5.seconds) { connection.incoming.receive() }
+            assertIs<ResponseEnd>(connection.end(1))
+            assertEquals(1, target.callsOf("/slots").size)
+            val retryAfter = assertIs<ResponseHead>(head).headers
+                .filter { it.name.equals("Retry-After", ignoreCase = true) }
+            assertEquals(listOf("0"), retryAfter.map { it.value })
+        }
+
         /** Guards against a repeated or late dispatch that books a second time. */
         @Test
         fun `run once when they are dispatched twice, and get no false refusal`() = runBlocking {
