Recognise a poison request whichever team sends it

Cause: the fingerprint held the team, so a request that had crashed two targets could crash two more when another team sent the same content. Ruled out: a second fingerprint for claims, since claims are kept under team and service anyway. Change: the fingerprint covers service, method, path and body. Run: a new test and the 32 tests of the data path, wrong answers and controllers pass.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestReader.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestReader.kt
@@ -109,7 +109,7 @@
                 routed = RoutedRequest(team, service.name, model, adapter),
                 key = PrefixKeys.ofChat(model, adapter, messages),
                 fingerprint =
-                Fingerprints.of(team, service.name, raw.method, raw.path, raw.body),
+                Fingerprints.of(service.name, raw.method, raw.path, raw.body),
                 method = raw.method,
                 path = raw.path,
                 headers = forTarget(raw),
@@ -153,7 +153,7 @@
                 routed = RoutedRequest(team, service.name),
                 key = PrefixKeys.ofText(raw.identifier.value),
                 fingerprint =
-                Fingerprints.of(team, service.name, raw.method, fullPath, raw.body),
+                Fingerprints.of(service.name, raw.method, fullPath, raw.body),
                 method = raw.method,
                 path = fullPath,
                 headers = forTarget(raw),
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/Fingerprints.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/Fingerprints.kt
@@ -1,22 +1,17 @@
 package org.hibiscusproxy.admission
 
 import org.hibiscusproxy.model.ServiceName
-import org.hibiscusproxy.model.TeamName
 import org.hibiscusproxy.placement.Hashing
 import org.hibiscusproxy.protocol.Fingerprint
 
-/** Fingerprints of requests, equal when a caller sends the same content again. */
+/** Fingerprints of requests, equal when anybody sends the same content again. */
 object Fingerprints {
-    /** Fingerprint of a call; headers are left out, because resends change them. */
-    fun of(
-        team: TeamName,
-        service: ServiceName,
-        method: String,
-        path: String,
-        body: ByteArray,
-    ): Fingerprint {
-        var hash = Hashing.of(team.value)
-        hash = Hashing.of(service.value, hash)
+    /**
+     * Fingerprint of a call. The team is left out, because a request that crashes targets does so
+     * whoever sends it; headers are left out, because resends change them.
+     */
+    fun of(service: ServiceName, method: String, path: String, body: ByteArray): Fingerprint {
+        var hash = Hashing.of(service.value)
         hash = Hashing.of(method, hash)
         hash = Hashing.of(path, hash)
         return Fingerprint(Hashing.of(body, hash))
