Leave dead engines out of the pool and tell of a crash before its caller resends

The poison request killed a third engine, because its caller sent it again through another entry within the 250 ms that the crash list needs. Ruled out: a fault of the count, as two crashes were on record and all later sends were refused. Change: a failure after a lost target is told 500 ms later; a sidecar that cannot reach its target reports a limit of 0, in leases too, and the pool leaves it out.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/RequestRun.kt
@@ -90,8 +90,19 @@
         if (request.repeatable) relay?.stop(AttemptOutcome.CallerGone)
     }
 
-    /** Runs the request to its end. */
+    /**
+     * Runs the request to its end. A failure after a lost target is told only when the sidecars
+     * can have learned which requests were in flight, because callers send it again at once and
+     * it may be the one that crashes targets.
+     */
     suspend fun run(): RequestEnd {
+        val end = runToEnd()
+        val isFailure = end is RequestEnd.Failed || end is RequestEnd.BrokenOff
+        if (isFailure && targetsLost > 0) delay(minOf(request.remaining, CRASH_LIST_TIME))
+        return end
+    }
+
+    private suspend fun runToEnd(): RequestEnd {
         context.budget.requestStarted()
         while (true) {
             if (hasCallerLeft) return RequestEnd.CallerGone
@@ -279,6 +290,9 @@
         val DEADLINE_GRACE = 250.milliseconds
         val RELEASE_LIMIT = 5.seconds
 
+        /** Sidecars gather losses for 100 ms; the log and the push to all sidecars follow. */
+        val CRASH_LIST_TIME = 500.milliseconds
+
         /** A request that lost this many targets may have crashed them; it gets no third one. */
         const val CRASH_LIMIT = 2
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/LeaseKeeper.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/LeaseKeeper.kt
@@ -17,6 +17,7 @@
 import org.hibiscusproxy.protocol.LeaseGrant
 import org.hibiscusproxy.protocol.LeaseRefusal
 import org.hibiscusproxy.protocol.LeaseRequest
+import org.hibiscusproxy.protocol.LoadReport
 import org.hibiscusproxy.timeline.EventRecorder
 import org.hibiscusproxy.timeline.FleetEvent
 import org.slf4j.Logger
@@ -33,6 +34,7 @@
     private val incarnation: Incarnation,
     private val link: ControllerLink,
     private val table: AttemptTable,
+    private val report: () -> LoadReport,
     private val events: EventRecorder,
 ) {
     private val renewNow = Channel<Unit>(Channel.CONFLATED)
@@ -91,7 +93,7 @@
         val answer = try {
             link.ask(ASK_LIMIT) { number ->
                 requestedAt[number] = TimeSource.Monotonic.markNow()
-                LeaseRequest(number, target, incarnation, table.report(), actedVersion)
+                LeaseRequest(number, target, incarnation, report(), actedVersion)
             }
         } finally {
             if (requestedAt.size > KEPT_REQUESTS) requestedAt.clear()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
@@ -93,7 +93,7 @@
         received = ::received,
     )
     private val lease =
-        LeaseKeeper(target, context.incarnation, link, table, context.events)
+        LeaseKeeper(target, context.incarnation, link, table, ::presentLoad, context.events)
     private val orders = OrderDesk(
         context.incarnation,
         OrderCall(settings.targetUrl, ORDER_TIME, lease::held, isDraining::get),
@@ -111,6 +111,10 @@
     @Volatile
     private var hasLoadReport = false
 
+    /** Whether the target did not answer when it was asked last. */
+    @Volatile
+    private var isTargetDown = false
+
     @Volatile
     private var capacity = 0
 
@@ -294,7 +298,7 @@
             val milliseconds = retryAfter.inWholeMilliseconds
             val servedBy = pointers.whereIs(PrefixKey(attempt.dispatch.prefixKey))
                 .takeIf { reason == NotRunReason.CACHED_ELSEWHERE }
-            answer(attempt, NotRun(attempt.attempt, reason, table.report(), milliseconds, servedBy))
+            answer(attempt, NotRun(attempt.attempt, reason, presentLoad(), milliseconds, servedBy))
         }
 
         override fun droppedDuplicate(attempt: Attempt) {
@@ -305,15 +309,21 @@
 
     private fun ended(attempt: SidecarAttempt, end: CallEnd) {
         table.finish(attempt, end.result(attempt))
+        when {
+            end is CallEnd.Complete -> isTargetDown = false
+
+            end is CallEnd.NotRun && end.reason == NotRunReason.TARGET_UNREACHABLE ->
+                isTargetDown = true
+        }
         when (end) {
             is CallEnd.Complete ->
-                answer(attempt, ResponseEnd(attempt.attempt, end.chunks, table.report()))
+                answer(attempt, ResponseEnd(attempt.attempt, end.chunks, presentLoad()))
 
             is CallEnd.NotRun -> {
                 context.events.record(
                     FleetEvent.AttemptNotRun(attempt.attempt, target, end.reason),
                 )
-                answer(attempt, NotRun(attempt.attempt, end.reason, reportAfter(end.reason)))
+                answer(attempt, NotRun(attempt.attempt, end.reason, presentLoad()))
             }
 
             is CallEnd.Broken -> broken(attempt, end)
@@ -322,10 +332,10 @@
         }
     }
 
-    /** A target that refuses connections takes nothing, whatever its limit is. */
-    private fun reportAfter(reason: NotRunReason): LoadReport {
+    /** A target that cannot be reached takes nothing, whatever its limit is. */
+    private fun presentLoad(): LoadReport {
         val report = table.report()
-        return if (reason == NotRunReason.TARGET_UNREACHABLE) report.copy(limit = 0) else report
+        return if (isTargetDown) report.copy(limit = 0) else report
     }
 
     private fun CallEnd.result(attempt: SidecarAttempt): AttemptResult = when (this) {
@@ -353,7 +363,7 @@
         } else {
             stopAtTarget(attempt)
         }
-        answer(attempt, ResponseBroken(attempt.attempt, reason, table.report()))
+        answer(attempt, ResponseBroken(attempt.attempt, reason, presentLoad()))
     }
 
     private fun brokenReason(attempt: SidecarAttempt): BrokenReason = attempt.stopReason
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/entry/DataPathTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/entry/DataPathTest.kt
@@ -200,6 +200,19 @@
             }
         }
 
+        /** Guards against a resend that crashes a third target before the crash is known. */
+        @Test
+        fun `are reported before their callers learn of the failure`() {
+            engine.behaviour = { exchange, _ ->
+                exchange.startStream()
+                exchange.event("first")
+                throw IOException("crash")
+            }
+            start()
+            fleet.send(fleet.chat("a"))
+            assertTrue(fleet.controller.received.any { it is CrashReport })
+        }
+
         @Test
         fun `are replaced while nothing was relayed`() {
             val fails = { exchange: HttpExchange ->
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/PoolLoads.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/PoolLoads.kt
@@ -12,7 +12,9 @@
 
 /**
  * Newest load reports. A silent target counts with its last number until its lease has run out,
- * because its requests still run; then it leaves the mean. A new leader starts without reports and
+ * because its requests still run; then it leaves the mean. A target that
+ * reports a limit of 0 cannot be reached by its sidecar and is left out, since a mean that counts
+ * dead engines would hold the others back. A new leader starts without reports and
  * counts a target from its first renewal.
  */
 internal class PoolLoads(private val settings: LeaseSettings) {
@@ -25,7 +27,8 @@
         now: ComparableTimeMark,
         leaseEnd: ComparableTimeMark,
     ) {
-        reports[target.name] = ReportedLoad(load.running, maxOf(leaseEnd, now + settings.reportAge))
+        val until = maxOf(leaseEnd, now + settings.reportAge)
+        reports[target.name] = ReportedLoad(load.running, load.limit > 0, until)
     }
 
     /**
@@ -60,6 +63,7 @@
         for (name in index.targetsIn[service].orEmpty()) {
             val report = reports[name]?.takeIf { it.countsUntil > now }
             if (report == null && !countsUnknown) continue
+            if (report != null && !report.takesWork) continue
             running += report?.running ?: 0
             targets += 1
         }
@@ -70,7 +74,11 @@
         reports.values.removeIf { it.countsUntil <= now }
     }
 
-    private class ReportedLoad(val running: Int, val countsUntil: ComparableTimeMark)
+    private class ReportedLoad(
+        val running: Int,
+        val takesWork: Boolean,
+        val countsUntil: ComparableTimeMark,
+    )
 
     private class PoolSum(val load: PoolLoad, val index: TargetIndex, val at: ComparableTimeMark)
 
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/LeaseGranterTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/LeaseGranterTest.kt
@@ -45,9 +45,10 @@
         incarnation: Long = 1,
         knownVersion: Long = 0,
         running: Int = 0,
+        limit: Int = 16,
         contact: ComparableTimeMark? = time.markNow(),
     ): LeaseDecision {
-        val load = LoadReport(running)
+        val load = LoadReport(running, limit = limit)
         val name = TargetName(target)
         val request = LeaseRequest(1, name, Incarnation(incarnation), load, knownVersion)
         return granter.request(request, state, contact, time.markNow())
@@ -58,9 +59,14 @@
         state.run(AllocateFencingNumber(name, Incarnation(incarnation), FleetInstant.ZERO))
     }
 
-    private fun granted(target: String, knownVersion: Long = 0, running: Int = 0): LeaseGrant {
+    private fun granted(
+        target: String,
+        knownVersion: Long = 0,
+        running: Int = 0,
+        limit: Int = 16,
+    ): LeaseGrant {
         allocate(target)
-        val decision = ask(target, knownVersion = knownVersion, running = running)
+        val decision = ask(target, knownVersion = knownVersion, running = running, limit = limit)
         return assertIs<LeaseDecision.Granted>(decision).grant
     }
 
@@ -211,6 +217,16 @@
             assertEquals(PoolLoad(5, 1), granted("t1", running = 5).pool)
         }
 
+        /** Guards against dead engines that lower the mean and so the bound of the others. */
+        @Test
+        fun `leaves out targets that cannot be reached`() {
+            publishAndWaitOutEarlierLeases()
+            granted("t1", running = 0, limit = 0)
+            time += 30.milliseconds
+
+            assertEquals(PoolLoad(3, 1), granted("t3", running = 3).pool)
+        }
+
         @Test
         fun `leaves out targets that take no new work`() {
             publishAndWaitOutEarlierLeases()
