--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -13,13 +13,15 @@
 import org.hibiscusproxy.daemon.logging.LogSetup
 import org.hibiscusproxy.daemon.process.FleetProcess
 import org.hibiscusproxy.daemon.process.FleetProcessFactory
+import org.hibiscusproxy.daemon.process.PlatformAdapters
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.settings.SettingsReader
 import org.slf4j.LoggerFactory
 
 /** `run`: runs one process of the fleet until it is told to stop by SIGTERM or SIGINT. */
 @OptIn(ExperimentalCli::class)
-class RunCommand : Subcommand("run", "Run one process with the roles of its settings file") {
+class RunCommand(private val adapters: PlatformAdapters = PlatformAdapters()) :
+    Subcommand("run", "Run one process with the roles of its settings file") {
     private val file by argument(ArgType.String, "settings", "Settings file, JSON with comments")
 
     override fun execute() {
@@ -37,10 +39,11 @@
         )
     }
 
-    private suspend fun start(settings: Settings) = FleetProcessFactory(settings) { failure ->
-        logger.error("process: A role failed. {}", failure.message)
-        Runtime.getRuntime().halt(ExitCode.REFUSED.number)
-    }.start()
+    private suspend fun start(settings: Settings) =
+        FleetProcessFactory(settings, adapters) { failure ->
+            logger.error("process: A role failed. {}", failure.message)
+            Runtime.getRuntime().halt(ExitCode.REFUSED.number)
+        }.start()
 
     private fun stopOnSignal(process: FleetProcess, settings: Settings) {
         // A shutdown hook decides the exit code by halting; otherwise the JVM reports the signal.
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -29,7 +29,6 @@
 import org.hibiscusproxy.daemon.transport.PeerTransport
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.ProcessName
-import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.timeline.EventRecorder
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
@@ -46,9 +45,13 @@
 ) : AutoCloseable {
     private val settings = parts.settings
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val links = parts.controllers
-        .filter { it.name != parts.name }
-        .associate { it.name to ReplicaLink(it, parts.transport) }
+    private val links = ReplicaLinks(
+        parts.controllers.filter { it.name != parts.name },
+        parts.transport,
+        scope,
+        areNamesAddresses = settings.automaticMembers,
+        parts.peerPort,
+    )
     private val core = ControllerCore(
         parts.name,
         log,
@@ -59,16 +62,24 @@
         ),
         TimeSource.Monotonic,
         parts.recorder,
-        links.keys,
-        ::sendToController,
+        membership(parts),
+        links::send,
     )
     private val worker = ControllerWorker(core, TICK)
-    private val operators = OperatorServer(
-        settings.operators,
-        CallVerifier(parts.key, callAddress(settings.operators)),
-        parts.controllers.mapNotNull { c -> c.operators?.let { c.name to it } }.toMap(),
-        ::submit,
-    )
+    private val operators = settings.operators?.let { address ->
+        OperatorServer(
+            address,
+            CallVerifier(parts.key, callAddress(address)),
+            parts.controllers.mapNotNull { c -> c.operators?.let { c.name to it } }.toMap(),
+            ::submit,
+        )
+    }
+    private val discovery = settings.targetList?.let { address ->
+        TargetDiscovery(parts.ports.targetReader(address), TARGET_LIST_INTERVAL) {
+            worker.submit(ControllerInput.Targets(it))
+        }
+    }
+    private var routingOperators: AutoCloseable? = null
     private val platform = settings.platformUrl?.let { url ->
         PlatformReader(url, PLATFORM_INTERVAL, core::isLeading) {
             worker.submit(ControllerInput.Platform(it))
@@ -79,34 +90,36 @@
     /** Completes with the reason if the controller stops by itself, as on a storage failure. */
     val failure: Deferred<Throwable> get() = worker.failure
 
-    /** Address of the operators' interface. */
-    val operatorAddress: NetworkAddress get() = operators.address
+    /** Address of the operators' interface, if it has one. */
+    val operatorAddress: NetworkAddress? get() = operators?.address
 
     private suspend fun start() {
         worker.start(scope)
         listener = parts.transport.listen(settings.listen) { connection ->
             ConnectionSession(connection).run(worker::submit)
         }
-        links.values.forEach { it.start(scope) }
+        links.start()
         platform?.start(scope)
-        operators.start()
+        discovery?.start(scope)
+        operators?.start()
+        routingOperators = settings.routingOperators?.let { address ->
+            parts.ports.serveOperators(address, WorkerRoutingControl(worker))
+        }
         LOG.info("controller: operators' interface at {}", operatorAddress)
     }
 
     override fun close() {
-        operators.close()
+        routingOperators?.close()
+        operators?.close()
         listener?.close()
         runBlocking { worker.stop() }
         scope.cancel()
         platform?.close()
+        discovery?.close()
         worker.close()
         storage.close()
     }
 
-    private fun sendToController(receiver: ProcessName, message: ControlMessage) {
-        links[receiver]?.send(message)
-    }
-
     private fun submit(request: OperatorRequest): CompletableFuture<OperatorReply> {
         val reply = CompletableFuture<OperatorReply>()
         if (!worker.trySubmit(ControllerInput.Operator(request, reply))) {
@@ -119,6 +132,9 @@
     companion object {
         private val TICK = 20.milliseconds
         private val PLATFORM_INTERVAL = 1.seconds
+
+        /** The platform's list lags by about as much; with three controllers it is read 3 times. */
+        private val TARGET_LIST_INTERVAL = 1.seconds
         private val WILDCARDS = setOf("0.0.0.0", "::")
         private val LOG: Logger = LoggerFactory.getLogger(Controller::class.java)
 
@@ -153,11 +169,21 @@
         private fun logSettings(parts: ControllerParts) = ReplicatedLogSettings(
             name = parts.name,
             bootstrap = parts.controllers.map { it.name },
+            mayFound = parts.settings.mayFound,
             heartbeatInterval = parts.settings.heartbeatMilliseconds.milliseconds,
             electionTimeout = parts.settings.electionMilliseconds.milliseconds,
             snapshotEntries = parts.settings.snapshotEntries,
         )
 
+        private fun membership(parts: ControllerParts): ControllerMembership =
+            if (parts.settings.automaticMembers) {
+                ControllerMembership.Automatic(parts.settings.toleratedLosses)
+            } else {
+                ControllerMembership.Listed(
+                    parts.controllers.map { it.name }.filterTo(HashSet()) { it != parts.name },
+                )
+            }
+
         private fun callAddress(listen: NetworkAddress): String? =
             if (listen.host in WILDCARDS || listen.port == 0) null else listen.toString()
     }
@@ -167,6 +193,7 @@
  * What a controller is made of.
  *
  * @property controllers all controllers of the fleet, this one included
+ * @property peerPort replaces the port of the other controllers' addresses where it is set
  */
 class ControllerParts(
     val name: ProcessName,
@@ -175,4 +202,6 @@
     val transport: PeerTransport,
     val key: FleetKey,
     val recorder: EventRecorder,
+    val ports: ControllerPorts = ControllerPorts.None,
+    val peerPort: Int? = null,
 )
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -18,9 +18,11 @@
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.CrashReport
 import org.hibiscusproxy.protocol.EngineOrderResult
+import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.LeaseAcknowledgement
 import org.hibiscusproxy.protocol.LeaseRequest
 import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.timeline.EventRecorder
 import org.hibiscusproxy.timeline.FleetEvent
 import org.slf4j.Logger
@@ -38,7 +40,7 @@
     settings: LeaseSettings,
     private val time: TimeSource.WithComparableMarks,
     private val recorder: EventRecorder,
-    private val controllers: Set<ProcessName>,
+    private val membership: ControllerMembership,
     private val sendToController: (ProcessName, ControlMessage) -> Unit,
 ) {
     private val proposals = Proposals(log, time)
@@ -59,6 +61,10 @@
         recorder,
         time,
     )
+    private val routing = RoutingService(log, state, leadership, proposals, time)
+    private val entries = EntryFeed(state, time, { leadership.active() != null }) {
+        log.membership.members.keys.toList()
+    }
     private var announcedVersion = 0L
     private var isExpiryProposed = false
     private var prunedAt = time.markNow()
@@ -77,10 +83,15 @@
             is ControllerInput.Disconnected -> {
                 leases.disconnected(input.session)
                 subscriptions.disconnected(input.session)
+                entries.disconnected(input.session)
             }
 
             is ControllerInput.Platform -> platform.take(input.list)
 
+            is ControllerInput.Targets -> entries.take(input.targets)
+
+            is ControllerInput.Routing -> routing.handle(input.call, input.reply)
+
             is ControllerInput.Tick -> Unit
 
             is ControllerInput.Operator -> operators.handle(input.request, input.reply)
@@ -91,9 +102,12 @@
     fun turn() {
         log.tick(time.markNow())
         proposeExpiry()
+        keepMembers()
         log.flush(time.markNow()).forEach(::act)
         announce()
         operators.advance()
+        routing.advance()
+        entries.advance()
         orders.advance()
         isLeading = leadership.active() != null
         val now = time.markNow()
@@ -111,19 +125,30 @@
             is ClaimRelease -> claims.release(session, message)
             is ClaimCompletion -> claims.complete(session, message)
             is CrashReport -> crashed(message)
+            is RoutingRequest -> entries.subscribe(session, message)
+            is EntryLoad -> entries.report(session, message)
             is EngineOrderResult -> orders.received(session, message)
             else -> LOG.warn("controller: unexpected {}", message::class.simpleName)
         }
     }
 
     private fun receiveConsensus(sender: ProcessName, envelope: ConsensusEnvelope) {
-        if (sender in controllers) {
+        if (membership.mayJoin(sender)) {
             log.receive(sender, envelope.content, time.markNow())
         } else {
             LOG.warn("controller: log message from {}, which is no controller", sender)
         }
     }
 
+    private fun keepMembers() {
+        val keeper = membership.keeper ?: return
+        val now = time.markNow()
+        val view = log.memberView(now) ?: return
+        val change = keeper.next(view, now) ?: return
+        LOG.info("controller: {} of {} voters", change, view.membership.voters.size)
+        log.changeMembership(change, now)
+    }
+
     private fun crashed(report: CrashReport) {
         if (claims.crashed(report)) return
         val leader = log.leader ?: return
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerInput.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerInput.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.daemon.controller
 
 import java.util.concurrent.CompletableFuture
+import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.protocol.PeerMessage
 
 /** Something that the controller's worker acts on, in the order of arrival. */
@@ -14,6 +15,13 @@
     /** The platform's list of instances, read while this replica led. */
     class Platform(val list: InstanceList) : ControllerInput()
 
+    /** The list of targets that this controller has read. */
+    class Targets(val targets: List<DiscoveredTarget>) : ControllerInput()
+
+    /** A call about routing, answered by completing [reply]. */
+    class Routing(val call: RoutingCall, val reply: CompletableFuture<RoutingReply>) :
+        ControllerInput()
+
     /** Time has passed. */
     data object Tick : ControllerInput()
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
@@ -12,12 +12,14 @@
 import org.hibiscusproxy.daemon.RoleContext
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.transport.KtorPeerTransport
+import org.hibiscusproxy.daemon.transport.transportSettings
 import org.hibiscusproxy.protocol.Hello
 
 /** The controller as a role of a process. */
 class ControllerRole(
     private val settings: Settings,
     private val context: RoleContext,
+    private val ports: ControllerPorts,
     private val onFailure: (Throwable) -> Unit,
 ) : Role {
     private val section = requireNotNull(settings.controller) { "no controller section: $settings" }
@@ -26,6 +28,7 @@
         Hello(settings.name, settings.dataCenter, context.incarnation),
         context.key,
         context.registry,
+        transportSettings(settings),
     )
     private var controller: Controller? = null
 
@@ -40,6 +43,8 @@
             transport,
             context.key,
             context.events,
+            ports,
+            settings.controllerPeerPort,
         )
         val started = Controller.start(parts).getOrElse { throw CannotOpen(it) }
         controller = started
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -0,0 +1,142 @@
+package org.hibiscusproxy.daemon.controller
+
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+import org.hibiscusproxy.control.ControlState
+import org.hibiscusproxy.forwarding.DiscoveredTarget
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.EntryLoad
+import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.RoutingCurrent
+import org.hibiscusproxy.protocol.RoutingRequest
+import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.TargetList
+import org.hibiscusproxy.protocol.TargetUse
+
+/**
+ * Feeds the entries that forward by host and path: routing as this controller has applied it, the
+ * list of targets as it was last read, and, while this controller leads, what all other entries
+ * have in progress. Entries follow every controller and keep the newest revision, so that a
+ * controller that is cut off from the others does not hold them back. Used by the worker only.
+ */
+internal class EntryFeed(
+    private val state: ControlState,
+    private val time: TimeSource.WithComparableMarks,
+    private val isLeading: () -> Boolean,
+    private val controllers: () -> List<ProcessName>,
+) {
+    private val subscribers = LinkedHashMap<PeerSession, Subscriber>()
+    private var targets: List<DiscoveredTarget>? = null
+    private var announcedAt = time.markNow()
+    private var loadSentAt = time.markNow()
+
+    fun subscribe(session: PeerSession, request: RoutingRequest) {
+        val isNew = session !in subscribers
+        val subscriber = subscribers.getOrPut(session) { Subscriber(session) }
+        if (isNew) {
+            session.send(current())
+            targets?.let { session.send(TargetList(it)) }
+        }
+        subscriber.push(request.knownRevision)
+    }
+
+    fun disconnected(session: PeerSession) {
+        subscribers.remove(session)
+    }
+
+    fun report(session: PeerSession, load: EntryLoad) {
+        val subscriber = subscribers[session] ?: return
+        subscriber.uses = load.uses.associateBy { it.target }
+        subscriber.reportedAt = time.markNow()
+    }
+
+    /** Takes the platform's list and passes it on at once. */
+    fun take(list: List<DiscoveredTarget>) {
+        targets = list
+        subscribers.keys.forEach { it.send(TargetList(list)) }
+    }
+
+    /** Sends what has changed or is due. */
+    fun advance() {
+        val revision = state.routing.revision
+        subscribers.values.forEach { if (it.sentRevision < revision) it.push(it.sentRevision) }
+        val now = time.markNow()
+        if (now - announcedAt >= ANNOUNCEMENT_INTERVAL) {
+            announcedAt = now
+            val current = current()
+            subscribers.keys.forEach { it.send(current) }
+        }
+        if (isLeading() && now - loadSentAt >= LOAD_INTERVAL) {
+            loadSentAt = now
+            sendLoads(now)
+        }
+    }
+
+    private fun sendLoads(now: ComparableTimeMark) {
+        val reporting = subscribers.values.filter { it.isReporting(now) }
+        val totals = HashMap<TargetName, TargetUse>()
+        reporting.forEach { subscriber ->
+            subscriber.uses.values.forEach { use -> totals.merge(use.target, use, ::sum) }
+        }
+        reporting.forEach { it.send(FleetLoad(reporting.size, it.othersOf(totals))) }
+    }
+
+    private fun sum(first: TargetUse, second: TargetUse) = TargetUse(
+        first.target,
+        first.running + second.running,
+        first.pendingTokens + second.pendingTokens,
+    )
+
+    private fun current() = RoutingCurrent(state.routing.revision, isLeading(), controllers())
+
+    private inner class Subscriber(val session: PeerSession) {
+        var sentRevision = 0L
+        var uses: Map<TargetName, TargetUse> = emptyMap()
+        var reportedAt: ComparableTimeMark? = null
+        private var sentLoad: FleetLoad? = null
+
+        fun isReporting(now: ComparableTimeMark): Boolean =
+            reportedAt.let { it != null && now - it < REPORT_LIFETIME }
+
+        fun send(load: FleetLoad) {
+            if (load == sentLoad) return
+            sentLoad = load
+            session.send(load)
+        }
+
+        fun push(known: Long) {
+            val routing = state.routing
+            sentRevision = maxOf(sentRevision, known)
+            if (routing.revision <= known) return
+            sentRevision = routing.revision
+            session.send(
+                RoutingUpdate(routing.revision, routing.configuration, routing.evacuated),
+            )
+        }
+
+        fun othersOf(totals: Map<TargetName, TargetUse>): List<TargetUse> = totals.values
+            .map { total ->
+                val own = uses[total.target] ?: return@map total
+                TargetUse(
+                    total.target,
+                    total.running - own.running,
+                    total.pendingTokens - own.pendingTokens,
+                )
+            }
+            .filter { it.running > 0 }
+            .sortedBy { it.target.value }
+    }
+
+    private companion object {
+        /** A third of the time after which an entry takes a silent controller for lost. */
+        val ANNOUNCEMENT_INTERVAL = 300.milliseconds
+
+        /** Placement tolerates loads of about this age; halving it doubles the control traffic. */
+        val LOAD_INTERVAL = 250.milliseconds
+
+        /** An entry that has not reported for this long is counted out. */
+        val REPORT_LIFETIME = 2_000.milliseconds
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
@@ -0,0 +1,100 @@
+package org.hibiscusproxy.daemon.controller
+
+import java.util.concurrent.CompletableFuture
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import org.hibiscusproxy.consensus.Consensus
+import org.hibiscusproxy.control.ControlCommand
+import org.hibiscusproxy.control.ControlState
+import org.hibiscusproxy.control.FleetInstant
+import org.hibiscusproxy.control.PublishRouting
+import org.hibiscusproxy.control.SetEvacuated
+import org.slf4j.LoggerFactory
+
+/**
+ * Answers calls about routing. A read waits until a majority has accepted this leader after the
+ * call arrived, so that a leader that was frozen or cut off never answers with an older state.
+ * Used by the worker only.
+ */
+internal class RoutingService(
+    private val log: Consensus,
+    private val state: ControlState,
+    private val leadership: Leadership,
+    private val proposals: Proposals,
+    private val time: TimeSource.WithComparableMarks,
+) {
+    private val reads = ArrayDeque<Read>()
+
+    fun handle(call: RoutingCall, reply: CompletableFuture<RoutingReply>) {
+        when (call) {
+            is RoutingCall.Publish -> propose(reply) { at ->
+                PublishRouting(call.configuration, call.document, at)
+            }
+
+            is RoutingCall.SetEvacuated -> propose(reply) { at ->
+                SetEvacuated(call.dataCenter, call.isEvacuated, at)
+            }
+
+            is RoutingCall.Read -> read(reply)
+        }
+    }
+
+    /** Answers reads that are confirmed, and gives up those that no majority confirmed in time. */
+    fun advance() {
+        if (reads.isEmpty()) return
+        val contact = if (leadership.active() == null) null else log.majorityContact
+        val now = time.markNow()
+        while (reads.isNotEmpty()) {
+            val read = reads.first()
+            when {
+                leadership.active() == null ->
+                    read.reply.complete(RoutingReply.NotLeader(log.leader))
+
+                contact != null && contact >= read.at ->
+                    read.reply.complete(RoutingReply.Current(state.routing))
+
+                now - read.at > CONFIRMATION_LIMIT -> read.reply.complete(RoutingReply.Unconfirmed)
+
+                else -> return
+            }
+            reads.removeFirst()
+        }
+    }
+
+    private fun propose(
+        reply: CompletableFuture<RoutingReply>,
+        command: (FleetInstant) -> ControlCommand,
+    ) {
+        val leader = leadership.active()
+        if (leader == null) {
+            reply.complete(RoutingReply.NotLeader(log.leader))
+            return
+        }
+        proposals.propose(command(leader.fleetTime(time.markNow()))) { outcome ->
+            val answer = when (outcome) {
+                is ProposalOutcome.Applied -> RoutingReply.Done
+                is ProposalOutcome.NotProposed -> RoutingReply.NotLeader(outcome.leader)
+                is ProposalOutcome.Unknown -> RoutingReply.Unconfirmed
+            }
+            LOG.info("controller: routing change {} at revision {}", answer, state.routing.revision)
+            reply.complete(answer)
+        }
+    }
+
+    private fun read(reply: CompletableFuture<RoutingReply>) {
+        if (leadership.active() == null) {
+            reply.complete(RoutingReply.NotLeader(log.leader))
+            return
+        }
+        reads.addLast(Read(time.markNow(), reply))
+    }
+
+    private class Read(val at: ComparableTimeMark, val reply: CompletableFuture<RoutingReply>)
+
+    private companion object {
+        /** Operators move on to another controller after about as long. */
+        val CONFIRMATION_LIMIT = 1.seconds
+        val LOG = LoggerFactory.getLogger(RoutingService::class.java)
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -0,0 +1,143 @@
+package org.hibiscusproxy.daemon.forwarding
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import org.hibiscusproxy.daemon.Role
+import org.hibiscusproxy.daemon.RoleContext
+import org.hibiscusproxy.daemon.settings.Settings
+import org.hibiscusproxy.daemon.transport.KtorPeerTransport
+import org.hibiscusproxy.daemon.transport.transportSettings
+import org.hibiscusproxy.protocol.EntryLoad
+import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.Hello
+import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.TargetList
+
+/**
+ * The forwarder role: an entry that forwards HTTP requests by host and path straight to targets.
+ * It serves on with the newest routing it knows when no controller can be reached; a process that
+ * has not got any refuses all requests and is not ready.
+ */
+class Forwarder(
+    private val settings: Settings,
+    private val context: RoleContext,
+    wire: WireFormat,
+) : Role {
+    private val section = requireNotNull(settings.forwarder) { "no forwarder section: $settings" }
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val transport = KtorPeerTransport(
+        Hello(settings.name, settings.dataCenter, context.incarnation),
+        context.key,
+        context.registry,
+        transportSettings(settings),
+    )
+    private val node = ForwardingNode(section, wire, loop, context.registry)
+    private val server = ForwardingServer(group, node)
+    private val feed = ControllerFeed(
+        settings.controllers.map { it.name },
+        settings.controllerPeerPort,
+        transport,
+        scope,
+        { routingRevision },
+        ::received,
+    )
+    private val readinessPath = wire.readinessPath
+
+    @Volatile
+    private var routingRevision = 0L
+
+    @Volatile
+    override var isReady = false
+        private set
+
+    override suspend fun start() {
+        Gauge.builder("forwarder.exchanges") {
+            node.exchanges.toDouble()
+        }.register(context.registry)
+        Gauge.builder("forwarder.routing.revision") { routingRevision.toDouble() }
+            .register(context.registry)
+        val status = StatusHandler(setOf(readinessPath, "/ready"), ::isReady, ::metrics)
+        server.listenForStatus(section.readiness, status)
+        server.listenForStatus(settings.administration, status)
+        server.listenForCallers(section.listen)
+        feed.start()
+        scope.launch { reportLoads() }
+    }
+
+    private fun metrics(): String =
+        (context.registry as? PrometheusMeterRegistry)?.scrape() ?: "# no metrics\n"
+
+    private fun received(message: PeerMessage) = loop.execute {
+        when (message) {
+            is RoutingUpdate -> node.take(message)
+            is TargetList -> node.take(message.targets)
+            is FleetLoad -> node.take(message)
+            else -> Unit
+        }
+        routingRevision = node.revision
+        isReady = node.isServing && !node.isDraining
+    }
+
+    private suspend fun reportLoads() {
+        while (scope.isActive) {
+            delay(REPORT_INTERVAL)
+            val uses = withContext(loop.asCoroutineDispatcher()) { node.book.ownUses() }
+            feed.report(EntryLoad(uses))
+        }
+    }
+
+    /**
+     * Becomes unready and serves on until the platform sends no new connections, then ends idle
+     * connections and waits for requests in progress.
+     */
+    override suspend fun drain(timeout: Duration): Int {
+        val startedAt = TimeSource.Monotonic.markNow()
+        isReady = false
+        withContext(loop.asCoroutineDispatcher()) { node.isDraining = true }
+        delay(minOf(UNREADY_TIME, timeout / 2))
+        withContext(loop.asCoroutineDispatcher()) {
+            server.stopAccepting()
+            server.closeIdle()
+        }
+        var left = node.exchanges
+        while (left > 0 && startedAt.elapsedNow() < timeout) {
+            delay(DRAIN_CHECK)
+            left = withContext(loop.asCoroutineDispatcher()) { node.exchanges }
+        }
+        return left
+    }
+
+    override fun close() {
+        scope.cancel()
+        server.close()
+        transport.close()
+        group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        /** As often as controllers tell the sums. */
+        val REPORT_INTERVAL = 250.milliseconds
+
+        /** The platform asks once a second and takes a process out after two answers. */
+        val UNREADY_TIME = 3.seconds
+        val DRAIN_CHECK = 20.milliseconds
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -0,0 +1,84 @@
+package org.hibiscusproxy.daemon.forwarding
+
+import io.micrometer.core.instrument.MeterRegistry
+import io.netty.channel.EventLoop
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import org.hibiscusproxy.daemon.settings.ForwarderSettings
+import org.hibiscusproxy.forwarding.DiscoveredTarget
+import org.hibiscusproxy.forwarding.RepeatAllowance
+import org.hibiscusproxy.forwarding.RouteIndex
+import org.hibiscusproxy.forwarding.TargetBook
+import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.RoutingUpdate
+import org.slf4j.LoggerFactory
+
+/**
+ * What all requests of one entry share: routing, targets, connections and allowances. Everything
+ * here is used on [loop] only, so that no lock is needed.
+ */
+internal class ForwardingNode(
+    settings: ForwarderSettings,
+    val wire: WireFormat,
+    val loop: EventLoop,
+    registry: MeterRegistry,
+    val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    val random = Random.Default
+    val book = TargetBook(settings.loadMultiple, time, random)
+    val pool = TargetPool(loop, wire)
+    val log = DecisionLog(registry, time)
+    val repeats = RepeatAllowance(
+        settings.retryRatio,
+        settings.retrySlack,
+        settings.retryWindowSeconds.seconds,
+        time,
+    )
+
+    /** Routes in force; null until the first configuration has come. */
+    var routes: RouteIndex? = null
+        private set
+
+    /** Revision of the routing in force. It never goes back. */
+    var revision = 0L
+        private set
+
+    /** Whether the entry finishes what it has and takes no new callers. */
+    var isDraining = false
+
+    /** Requests in progress. */
+    var exchanges = 0
+
+    /** Whether the entry can serve: it knows routes and targets. */
+    val isServing: Boolean get() = routes != null && book.hasTargets
+
+    /** Puts [update] in force unless a newer one is. */
+    fun take(update: RoutingUpdate) {
+        if (update.revision <= revision) return
+        val configuration = update.configuration ?: return
+        revision = update.revision
+        if (routes?.configuration != configuration) routes = RouteIndex(configuration)
+        book.takeRouting(configuration.services, update.evacuated)
+        LOG.info(
+            "forwarder: event=routing revision={} version={} routes={} evacuated={}",
+            revision,
+            configuration.version,
+            configuration.routes.size,
+            update.evacuated,
+        )
+    }
+
+    /** Takes the platform's list. */
+    fun take(targets: List<DiscoveredTarget>) {
+        book.takeTargets(targets)
+        pool.prune(targets.mapTo(HashSet()) { it.name })
+    }
+
+    /** Takes what the other entries have in progress. */
+    fun take(load: FleetLoad) = book.takeFleetLoad(load.entries, load.uses)
+
+    private companion object {
+        val LOG = LoggerFactory.getLogger(ForwardingNode::class.java)
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
@@ -0,0 +1,75 @@
+package org.hibiscusproxy.daemon.forwarding
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import org.hibiscusproxy.forwarding.CallerLimits
+import org.hibiscusproxy.model.NetworkAddress
+
+/** Listeners of a forwarder: one for callers, others for the state of the process. */
+internal class ForwardingServer(
+    private val group: EventLoopGroup,
+    private val node: ForwardingNode,
+) {
+    private val callers = HashSet<CallerConnection>()
+    private val listeners = ArrayList<Channel>()
+    private var callerListener: Channel? = null
+
+    /** @throws java.io.IOException when the address cannot be used */
+    fun listenForCallers(address: NetworkAddress): NetworkAddress {
+        val listener = bind(address) { channel ->
+            val limits = node.routes?.configuration?.limits ?: CallerLimits()
+            val caller = CallerConnection(node) { callers.remove(it) }
+            callers.add(caller)
+            channel.pipeline().addLast(codec(limits.headerBytes), caller)
+        }
+        callerListener = listener
+        return address.copy(port = (listener.localAddress() as java.net.InetSocketAddress).port)
+    }
+
+    /** @throws java.io.IOException when the address cannot be used */
+    fun listenForStatus(address: NetworkAddress, handler: StatusHandler) {
+        bind(address) { it.pipeline().addLast(codec(STATUS_HEADER_BYTES), handler) }
+    }
+
+    /** Accepts no further callers. */
+    fun stopAccepting() {
+        callerListener?.close()
+    }
+
+    /** Ends connections on which no request is in progress. Called on the event loop. */
+    fun closeIdle() = callers.toList().forEach { it.closeIfIdle() }
+
+    fun close() = listeners.forEach { it.close() }
+
+    private fun bind(address: NetworkAddress, prepare: (SocketChannel) -> Unit): Channel =
+        ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) = prepare(channel)
+            })
+            .bind(address.host, address.port)
+            .sync()
+            .channel()
+            .also(listeners::add)
+
+    private fun codec(headerBytes: Int) = HttpServerCodec(
+        HttpDecoderConfig().setMaxHeaderSize(headerBytes).setMaxInitialLineLength(headerBytes),
+    )
+
+    private companion object {
+        /** Callers that come in one burst; a full queue would delay them by a second. */
+        const val BACKLOG = 1_024
+        const val STATUS_HEADER_BYTES = 8_192
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
@@ -0,0 +1,88 @@
+package org.hibiscusproxy.daemon.forwarding
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
+import org.hibiscusproxy.forwarding.DiscoveredTarget
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.TargetName
+
+/** Connections to targets, kept open between requests. Used on the event loop only. */
+internal class TargetPool(private val loop: EventLoop, private val wire: WireFormat) {
+    private val idle = HashMap<TargetName, ArrayDeque<TargetConnection>>()
+    private val bootstrap = Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+
+    /** Connections that are open, in use or not. */
+    var openCount = 0
+        private set
+
+    /** A kept connection to [target], the most recently used first; null when there is none. */
+    fun takeIdle(target: TargetName): TargetConnection? {
+        val connections = idle[target] ?: return null
+        while (connections.isNotEmpty()) {
+            val connection = connections.removeLast()
+            if (connection.isUsable) return connection
+            connection.cancel()
+        }
+        return null
+    }
+
+    /** Opens a connection to [target]; [done] gets null when that fails. */
+    fun connect(target: DiscoveredTarget, done: (TargetConnection?) -> Unit) {
+        val connection = TargetConnection(wire) { idleOf(target.name).addLast(it) }
+        val future = bootstrap.clone()
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(codec(), connection)
+                }
+            })
+            .connect(target.address.socketAddress())
+        future.addListener(
+            ChannelFutureListener {
+                if (it.isSuccess) {
+                    openCount += 1
+                    it.channel().closeFuture().addListener { openCount -= 1 }
+                }
+                done(connection.takeIf { _ -> it.isSuccess })
+            },
+        )
+    }
+
+    /** Closes idle connections that targets may close by now, and those of targets that are gone. */
+    fun prune(targets: Set<TargetName>) {
+        idle.forEach { (name, connections) ->
+            connections.removeAll { connection ->
+                val isOver = name !in targets || !connection.isUsable
+                if (isOver) connection.cancel()
+                isOver
+            }
+        }
+        idle.values.removeAll { it.isEmpty() }
+    }
+
+    private fun idleOf(target: TargetName) = idle.getOrPut(target) { ArrayDeque() }
+
+    private fun codec() = HttpClientCodec(
+        HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES),
+        false,
+        false,
+    )
+
+    private fun NetworkAddress.socketAddress() = java.net.InetSocketAddress(host, port)
+
+    private companion object {
+        /** Targets are milliseconds away; a lost packet is sent again only after a second. */
+        const val CONNECT_MILLISECONDS = 300
+        const val MAXIMUM_HEADER_BYTES = 65_536
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
@@ -0,0 +1,88 @@
+package org.hibiscusproxy.daemon.forwarding
+
+import io.netty.handler.codec.http.HttpHeaders
+import kotlin.time.Duration
+import org.hibiscusproxy.forwarding.Prompt
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.model.TeamName
+
+/** Names and formats of the headers that callers, targets and the entry exchange. */
+interface WireFormat {
+    /** Path at which the platform asks whether the entry takes new callers. */
+    val readinessPath: String
+
+    /** Reads what a caller says of its request. */
+    fun readCall(headers: HttpHeaders): CallFacts
+
+    /**
+     * Turns [headers] of a caller into those for a target: what concerns one connection only, what
+     * callers may not set and the access key are removed, and [call] is written.
+     */
+    fun writeTargetCall(headers: HttpHeaders, call: TargetCall)
+
+    /** Reads what a target says about its answer. */
+    fun readAnswer(status: Int, headers: HttpHeaders): AnswerFacts
+
+    /** Removes from [headers] of an answer what concerns one connection only. */
+    fun removeConnectionHeaders(headers: HttpHeaders)
+}
+
+/**
+ * What a caller says of its request.
+ *
+ * @property requestIdentifier one for each attempt of the caller
+ * @property patience how long the caller waits
+ * @property resumesAfter identifier of the last event of a stream that the caller has
+ */
+data class CallFacts(
+    val requestIdentifier: String?,
+    val patience: Duration?,
+    val accessKey: String?,
+    val prompt: Prompt?,
+    val resumesAfter: String?,
+)
+
+/**
+ * What the entry tells a target.
+ *
+ * @property target the only target that may run the request
+ * @property remainingMilliseconds time after which nobody waits for the answer
+ * @property urgency rank at a model engine, 0 first; null at plain services
+ * @property resumesAfter identifier of the last event that the caller has
+ */
+data class TargetCall(
+    val target: TargetName,
+    val team: TeamName?,
+    val remainingMilliseconds: Long,
+    val urgency: Int?,
+    val resumesAfter: String?,
+)
+
+/** Whether a target ran a request. */
+enum class RunStatement {
+    /** It ran, or may have. */
+    MAY_HAVE_RUN,
+
+    /** The target states that it did not run the request. */
+    NOT_RUN,
+
+    /** Another target answered, which did not run the request. */
+    OTHER_TARGET,
+}
+
+/**
+ * What a target says about its answer.
+ *
+ * @property isSealed whether the answer bears the target's signature
+ * @property isEncoded whether the body is compressed, which no caller asks for
+ * @property keepsOpenFor how long the target keeps the idle connection; null if not told
+ * @property coldFor how long the target stays cold; null if not told
+ */
+data class AnswerFacts(
+    val requestIdentifier: String?,
+    val statement: RunStatement,
+    val isSealed: Boolean,
+    val isEncoded: Boolean,
+    val keepsOpenFor: Duration?,
+    val coldFor: Duration?,
+)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
@@ -17,7 +17,7 @@
  */
 class FleetProcess(
     private val roles: Map<String, Role>,
-    private val administration: AdministrationServer,
+    private val administration: AdministrationServer?,
     private val events: EventRecorder,
 ) : AutoCloseable {
     private val stopping = AtomicBoolean()
@@ -28,7 +28,7 @@
 
     /** Starts all roles. */
     suspend fun start() {
-        administration.start()
+        administration?.start()
         roles.values.forEach { it.start() }
         events.record(FleetEvent.ProcessStarted(roles.keys.toList()))
         logger.info("process: Started as {}.", roles.keys.joinToString())
@@ -57,7 +57,7 @@
     override fun close() {
         if (!closed.compareAndSet(false, true)) return
         roles.values.forEach { it.close() }
-        administration.close()
+        administration?.close()
     }
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcessFactory.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcessFactory.kt
@@ -14,6 +14,7 @@
 import org.hibiscusproxy.daemon.administration.AdministrationServer
 import org.hibiscusproxy.daemon.controller.ControllerRole
 import org.hibiscusproxy.daemon.entry.Entry
+import org.hibiscusproxy.daemon.forwarding.Forwarder
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.sidecar.Sidecar
 import org.hibiscusproxy.daemon.timeline.FileEventRecorder
@@ -28,6 +29,7 @@
  */
 class FleetProcessFactory(
     private val settings: Settings,
+    private val adapters: PlatformAdapters = PlatformAdapters(),
     private val onRoleFailure: (Throwable) -> Unit,
 ) {
     /** Starts all roles, or none. */
@@ -45,8 +47,11 @@
             return Err(StartFailure.BadSetting(failure.message.orEmpty()))
         }
         lateinit var process: FleetProcess
-        val administration = AdministrationServer(settings.administration, registry) {
-            process.isReady
+        // A forwarder serves its state itself.
+        val administration = if (settings.forwarder != null) {
+            null
+        } else {
+            AdministrationServer(settings.administration, registry) { process.isReady }
         }
         process = FleetProcess(roles, administration, events)
         return start(process)
@@ -73,9 +78,13 @@
 
     private fun roles(context: RoleContext): Map<String, Role> = buildMap {
         if (settings.controller != null) {
-            put("controller", ControllerRole(settings, context, onRoleFailure))
+            put("controller", ControllerRole(settings, context, adapters.controller, onRoleFailure))
         }
         if (settings.sidecar != null) put("sidecar", Sidecar.of(settings, context))
+        if (settings.forwarder != null) {
+            val wire = requireNotNull(adapters.wire) { "no platform adapter for a forwarder" }
+            put("forwarder", Forwarder(settings, context, wire))
+        }
         if (settings.entry != null) put("entry", Entry.of(settings, context))
     }
 }
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/PlatformAdapters.kt
@@ -0,0 +1,10 @@
+package org.hibiscusproxy.daemon.process
+
+import org.hibiscusproxy.daemon.controller.ControllerPorts
+import org.hibiscusproxy.daemon.forwarding.WireFormat
+
+/** Names, formats and calls of the platform that a process runs on. */
+class PlatformAdapters(
+    val controller: ControllerPorts = ControllerPorts.None,
+    val wire: WireFormat? = null,
+)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -23,6 +23,21 @@
     val fleetKeyFile: String,
     @Setting("The fleet's controllers: name and peer address of each.")
     val controllers: List<ControllerAddress>,
+    @Setting(
+        "Port on which every controller listens for processes of the fleet, where names and " +
+            "addresses of controllers state another interface of theirs; else null.",
+        minimum = 1.0,
+        maximum = 65_535.0,
+    )
+    val controllerPeerPort: Int? = null,
+    @Setting(
+        "Time without contact after which a process is taken for lost; null for the defaults of " +
+            "the links between processes.",
+        unit = "milliseconds",
+        minimum = 300.0,
+        maximum = 60_000.0,
+    )
+    val contactMilliseconds: Long? = null,
     @Setting("File that takes the process's events for the timeline; none when null.")
     val eventFile: String? = null,
     @Setting("Form of log lines on standard output: text or json.")
@@ -36,6 +51,8 @@
     val shutdownSeconds: Int = 60,
     @Setting("Section of the entry role; absent when the process is no entry.")
     val entry: EntrySettings? = null,
+    @Setting("Section of the forwarder role; absent when the process is no forwarder.")
+    val forwarder: ForwarderSettings? = null,
     @Setting("Section of the sidecar role; absent when the process is no sidecar.")
     val sidecar: SidecarSettings? = null,
     @Setting("Section of the controller role; absent when the process is no controller.")
@@ -100,6 +117,49 @@
     val unreadyMilliseconds: Long = 1_000,
 )
 
+/** Settings of the forwarder role: an entry that forwards by host and path. */
+@Serializable
+data class ForwarderSettings(
+    @Setting("IP number and port of the listener for callers.")
+    val listen: NetworkAddress,
+    @Setting("IP number and port where the platform asks whether the process takes callers.")
+    val readiness: NetworkAddress,
+    @Setting("IP number and port of the platform's list of targets.")
+    val targetList: NetworkAddress,
+    @Setting(
+        "Time from a stop signal until the platform kills the process.",
+        unit = "seconds",
+        minimum = 1.0,
+        maximum = 3600.0,
+    )
+    val graceSeconds: Int = 8,
+    @Setting(
+        "Extra arrivals at a service allowed as a share of its requests, over all entries.",
+        minimum = 0.0,
+        maximum = 1.0,
+    )
+    val retryRatio: Double = 0.2,
+    @Setting(
+        "Extra arrivals at a service allowed beside the share, over all entries.",
+        minimum = 0.0,
+        maximum = 100_000.0,
+    )
+    val retrySlack: Int = 10,
+    @Setting(
+        "Time over which extra arrivals are counted.",
+        unit = "seconds",
+        minimum = 1.0,
+        maximum = 600.0,
+    )
+    val retryWindowSeconds: Int = 10,
+    @Setting(
+        "Load bound of a model engine as a multiple of the mean of its service.",
+        minimum = 1.0,
+        maximum = 100.0,
+    )
+    val loadMultiple: Double = 2.0,
+)
+
 /** Settings of the sidecar role. */
 @Serializable
 data class SidecarSettings(
@@ -125,8 +185,8 @@
 data class ControllerSettings(
     @Setting("IP number and port of the listener for processes of the fleet.")
     val listen: NetworkAddress,
-    @Setting("IP number and port of the listener for operators.")
-    val operators: NetworkAddress,
+    @Setting("IP number and port of the listener for operators; none when null.")
+    val operators: NetworkAddress? = null,
     @Setting("Folder for the replicated log and snapshots; used by one process at a time.")
     val dataFolder: String,
     @Setting(
@@ -158,4 +218,22 @@
     val snapshotEntries: Int = 4_096,
     @Setting("Base URL of the platform's instance list; not polled when null.")
     val platformUrl: String? = null,
+    @Setting(
+        "Whether controllers are named by their peer addresses and members are replaced without " +
+            "an operator.",
+    )
+    val automaticMembers: Boolean = false,
+    @Setting("Whether this controller may found a cluster; false for one that joins or rejoins.")
+    val mayFound: Boolean = true,
+    @Setting(
+        "Controllers that may be lost at once; with automatic members, twice as many and one are " +
+            "kept as voters.",
+        minimum = 0.0,
+        maximum = 10.0,
+    )
+    val toleratedLosses: Int = 1,
+    @Setting("IP number and port of the platform's list of targets; not read when null.")
+    val targetList: NetworkAddress? = null,
+    @Setting("IP number and port of the platform's interface for routing; none when null.")
+    val routingOperators: NetworkAddress? = null,
 )
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsReader.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsReader.kt
@@ -42,8 +42,8 @@
     }
 
     private fun inconsistencies(settings: Settings): List<SettingsFault> = buildList {
-        if (listOf(settings.entry, settings.sidecar, settings.controller).all { it == null }) {
-            add("", "no role: one of entry, sidecar, controller is needed")
+        if (settings.hasNoRole()) {
+            add("", "no role: one of entry, forwarder, sidecar, controller is needed")
         }
         if (settings.name.value.isBlank()) add("name", "must not be blank")
         if (settings.controllers.isEmpty()) add("controllers", "at least one is needed")
@@ -53,6 +53,9 @@
         addSharedListeners(settings)
     }
 
+    private fun Settings.hasNoRole() =
+        listOf(entry, forwarder, sidecar, controller).all { it == null }
+
     private fun MutableList<SettingsFault>.addDuplicateControllers(settings: Settings) {
         val names = settings.controllers.map { it.name }
         names.filter { name -> names.count { it == name } > 1 }.distinct().forEach {
@@ -64,7 +67,8 @@
         settings: Settings,
         controller: ControllerSettings,
     ) {
-        if (settings.controllers.none { it.name == settings.name }) {
+        val isListed = settings.controllers.any { it.name == settings.name }
+        if (!controller.automaticMembers && !isListed) {
             add("controllers", "the controller ${settings.name} is not in the list")
         }
         if (controller.heartbeatMilliseconds * 3 > controller.electionMilliseconds) {
@@ -87,9 +91,12 @@
         val listeners = listOfNotNull(
             settings.administration,
             settings.entry?.listen,
+            settings.forwarder?.listen,
+            settings.forwarder?.readiness,
             settings.sidecar?.listen,
             settings.controller?.listen,
             settings.controller?.operators,
+            settings.controller?.routingOperators,
         )
         listeners.filter { address -> listeners.count { it == address } > 1 }.distinct().forEach {
             add("", "two listeners share $it")
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/TransportSettings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/TransportSettings.kt
@@ -24,4 +24,17 @@
     val incomingMessages: Int = 64,
     val heartbeatInterval: Duration? = 1.seconds,
     val silenceLimit: Duration = 3.seconds,
-)
+) {
+    companion object {
+        /**
+         * Settings that notice a silent connection, and can open another one, within [contact]: a
+         * third of it for silence, with three heartbeats in that time.
+         */
+        fun within(contact: Duration) = TransportSettings(
+            connectTimeout = contact / 6,
+            handshakeTimeout = contact / 3,
+            heartbeatInterval = contact / 9,
+            silenceLimit = contact / 3,
+        )
+    }
+}
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CoreFixture.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CoreFixture.kt
@@ -40,7 +40,7 @@
         LeaseSettings(),
         time,
         { },
-        peers.mapTo(HashSet(), ::ProcessName),
+        ControllerMembership.Listed(peers.mapTo(HashSet(), ::ProcessName)),
         { _, _ -> },
     )
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ReplicaUnderTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ReplicaUnderTest.kt
@@ -42,7 +42,7 @@
             LeaseSettings(),
             messages.time,
             { },
-            names.toSet() - name,
+            ControllerMembership.Listed(names.toSet() - name),
             ::sendToPeer,
         )
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ConsensusMessage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ConsensusMessage.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.cbor.CborArray
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.Payload
 
 /**
@@ -36,12 +37,19 @@
 @CborArray
 internal data class Introduction(val identity: Long, val cluster: Long) : ConsensusMessage()
 
-/** Answer to the introduction of [asker]; [cluster] is 0 if the sender belongs to none. */
+/**
+ * Answer to the introduction of [asker]; [cluster] is 0 if the sender belongs to none. [members]
+ * are the others to whom the asker may introduce itself.
+ */
 @Serializable
 @SerialName("j")
 @CborArray
-internal data class IntroductionReply(val asker: Long, val identity: Long, val cluster: Long) :
-    ConsensusMessage()
+internal data class IntroductionReply(
+    val asker: Long,
+    val identity: Long,
+    val cluster: Long,
+    val members: List<ProcessName> = emptyList(),
+) : ConsensusMessage()
 
 /** A new cluster was founded with the receiver as a member. */
 @Serializable
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Formation.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Formation.kt
@@ -20,7 +20,10 @@
 internal class Formation(private val state: ReplicaState) {
     private val candidates = mutableMapOf<ProcessName, Long>()
     private val known = sortedMapOf<ProcessName, Long>(compareBy { it.value })
+    private val introducedLast = mutableMapOf<ProcessName, ComparableTimeMark>()
+    private val heardOf = linkedSetOf<ProcessName>()
     private var introducedAt: ComparableTimeMark? = null
+    private var latest: ComparableTimeMark? = null
 
     /** Identities that introduced themselves and are not those of members, by name. */
     val strangers: Map<ProcessName, Long>
@@ -28,11 +31,23 @@
             !state.membership.contains(process, identity)
         }
 
-    /** Founds the cluster or asks the others, if this replica belongs to no cluster. */
-    fun tick(now: ComparableTimeMark) {
-        if (state.membership.contains(state.name, state.identity)) return
-        if (!state.hasCluster) tryToFound()
-        if (state.hasCluster && state.membership.contains(state.name, state.identity)) return
+    /** Strangers that introduced themselves within [STRANGER_LIFETIME_INTERVALS] before [now]. */
+    fun recentStrangers(now: ComparableTimeMark): Map<ProcessName, Long> {
+        val lifetime = state.settings.heartbeatInterval * STRANGER_LIFETIME_INTERVALS
+        return strangers.filterKeys { process ->
+            introducedLast[process]?.let { now - it <= lifetime } ?: false
+        }
+    }
+
+    /**
+     * Founds the cluster or asks the others, if this replica belongs to no cluster. A member that
+     * hears no leader ([isIsolated]) introduces itself too, since it may have been removed.
+     */
+    fun tick(now: ComparableTimeMark, isIsolated: Boolean = false) {
+        latest = now
+        if (isMember() && !isIsolated) return
+        if (!state.hasCluster && state.settings.mayFound) tryToFound()
+        if (isMember() && !isIsolated) return
         val last = introducedAt
         if (last != null && now - last < state.settings.heartbeatInterval * INTERVALS) return
         introducedAt = now
@@ -41,6 +56,7 @@
 
     fun receive(sender: ProcessName, message: Introduction) {
         known[sender] = message.identity
+        latest?.let { introducedLast[sender] = it }
         val founding = state.log.takeIf { it.baseIndex == 0L && it.lastIndex > 0 }?.get(1)?.content
         if (message.cluster == NO_IDENTITY &&
             founding is EntryContent.MembershipEntry &&
@@ -48,13 +64,15 @@
         ) {
             state.send(sender, Founding(state.cluster, message.identity, founding.membership))
         } else {
-            val reply = IntroductionReply(message.identity, state.identity, state.cluster)
+            val members = state.membership.members.keys.toList()
+            val reply = IntroductionReply(message.identity, state.identity, state.cluster, members)
             state.send(sender, reply)
         }
     }
 
     fun receive(sender: ProcessName, message: IntroductionReply) {
         if (message.asker != state.identity) return
+        heardOf.addAll(message.members)
         if (message.cluster == NO_IDENTITY) {
             candidates[sender] = message.identity
         } else {
@@ -71,7 +89,7 @@
     private fun tryToFound() {
         val names = state.settings.bootstrap
         if (names.minByOrNull { it.value } != state.name) return
-        if (!candidates.keys.containsAll(others())) return
+        if (!candidates.keys.containsAll(names.filter { it != state.name })) return
         val membership = Membership(
             names.sortedBy { it.value }.associateWith {
                 val identity = if (it == state.name) state.identity else candidates.getValue(it)
@@ -95,10 +113,19 @@
         return cluster
     }
 
-    private fun others(): List<ProcessName> = state.settings.bootstrap.filter { it != state.name }
+    private fun isMember() =
+        state.hasCluster && state.membership.contains(state.name, state.identity)
+
+    private fun others(): List<ProcessName> =
+        (state.settings.bootstrap + heardOf + state.membership.members.keys)
+            .distinct()
+            .filter { it != state.name }
 
     private companion object {
         /** A replica without a membership introduces itself after this many intervals again. */
         const val INTERVALS = 2
+
+        /** A process that introduces itself is remembered as present for this many intervals. */
+        const val STRANGER_LIFETIME_INTERVALS = 10
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -72,6 +72,15 @@
         return heard >= next.majority
     }
 
+    /** When [process] answered last, or the beginning of the term; null for this replica. */
+    fun lastContact(process: ProcessName): ComparableTimeMark? = if (process ==
+        state.name
+    ) {
+        null
+    } else {
+        peers[process]?.contact?.let { maxOf(it, since) } ?: since
+    }
+
     fun receive(sender: ProcessName, reply: HeartbeatReply) {
         val peer = peers[sender] ?: return
         if (reply.tag != peerTag(state.cluster, peer.identity, state.term)) return
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -67,6 +67,19 @@
     /** Processes that introduced themselves with an identity that is not a member's. */
     val strangers: Map<ProcessName, Long> get() = formation.strangers
 
+    /** What [MemberKeeper] needs to know at a leader, or null when this replica does not lead. */
+    fun memberView(now: ComparableTimeMark): MemberView? {
+        val current = leadership ?: return null
+        return object : MemberView {
+            override val membership get() = state.membership
+            override val strangers = formation.recentStrangers(now)
+
+            override fun lastContact(process: ProcessName) = current.lastContact(process)
+
+            override fun isPossible(change: MembershipChange) = refusalOf(change, now) == null
+        }
+    }
+
     /** Messages that could not be decoded. */
     var undecodableMessages: Long = 0
         private set
@@ -106,7 +119,7 @@
 
     override fun tick(now: ComparableTimeMark) {
         checkUsable()
-        formation.tick(now)
+        formation.tick(now, isIsolated(now))
         val current = leadership
         if (current != null) {
             current.tick(now)
@@ -201,6 +214,9 @@
         return isFree && isUpToDate
     }
 
+    private fun isIsolated(now: ComparableTimeMark): Boolean =
+        leadership == null && now - leaderContact > state.settings.electionTimeout * ISOLATION
+
     private fun hearsLeader(now: ComparableTimeMark): Boolean {
         val contact = if (leadership != null) leadership?.majorityContact else leaderContact
         return contact != null && now - contact < state.settings.electionTimeout
@@ -357,6 +373,9 @@
     )
 
     companion object {
+        /** A member without a leader for this many election timeouts asks whether it is one. */
+        private const val ISOLATION = 3
+
         /**
          * Opens a replica on what [storage] holds.
          *
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSettings.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSettings.kt
@@ -10,6 +10,7 @@
  * @property name this replica's name
  * @property bootstrap names of the first voters, the same list on all of them; a replica that is
  * added to a running cluster may name any of its members here and introduces itself to them
+ * @property mayFound whether this replica may found a cluster; false for one that joins or rejoins
  * @property electionTimeout shortest silence of a leader that leads to an election; the actual one
  * is drawn between this and twice this
  * @property maximumBatchBytes bound of the entries in one message, except that one entry always fits
@@ -21,6 +22,7 @@
 data class ReplicatedLogSettings(
     val name: ProcessName,
     val bootstrap: List<ProcessName>,
+    val mayFound: Boolean = true,
     val heartbeatInterval: Duration = 150.milliseconds,
     val electionTimeout: Duration = 600.milliseconds,
     val maximumBatchBytes: Int = 256 * 1024,
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.FleetObjects
 import org.hibiscusproxy.model.OperationalState
@@ -11,6 +12,7 @@
 import org.hibiscusproxy.protocol.ClaimKey
 import org.hibiscusproxy.protocol.Fingerprint
 import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.Payload
 import org.hibiscusproxy.protocol.StoredAnswer
 
 /**
@@ -165,3 +167,21 @@
 @Serializable
 @SerialName("ex")
 data class Expire(override val at: FleetInstant) : ControlCommand()
+
+/** Publishes [configuration], which its author sent as [document]. */
+@Serializable
+@SerialName("rp")
+data class PublishRouting(
+    val configuration: RoutingConfiguration,
+    val document: Payload,
+    override val at: FleetInstant,
+) : ControlCommand()
+
+/** Stops new work for the targets of [dataCenter], or allows it again. */
+@Serializable
+@SerialName("re")
+data class SetEvacuated(
+    val dataCenter: DataCenterName,
+    val isEvacuated: Boolean,
+    override val at: FleetInstant,
+) : ControlCommand()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlSnapshot.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlSnapshot.kt
@@ -21,6 +21,7 @@
     val fencing: List<FencingRecord>,
     val claims: List<ClaimRecord>,
     val crashes: List<CrashRecord>,
+    val routing: RoutingState = RoutingState(),
 )
 
 /** Fleet state with what is needed to decide about changes of it. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlState.kt
@@ -19,6 +19,7 @@
     private val claims = ClaimTable(limits)
     private val crashes = CrashTable(limits)
     private val fencing = LinkedHashMap<TargetName, FencingRecord>()
+    private val routingTable = RoutingTable()
     private var lastFencingNumber = 0L
 
     /** Newest time of an applied command. */
@@ -28,6 +29,9 @@
     /** What is effective in the fleet. */
     val fleet: FleetState get() = fleetTable.state
 
+    /** Routes, teams' keys and evacuated data centres for entries that forward by host and path. */
+    val routing: RoutingState get() = routingTable.state
+
     /** Targets that the platform's list took out and neither it nor an operator returned. */
     val targetsOutByPlatform: Set<TargetName> get() = fleetTable.outByPlatform
 
@@ -79,6 +83,16 @@
                 ControlResult.Done
             }
 
+            is PublishRouting -> {
+                routingTable.publish(command)
+                ControlResult.Done
+            }
+
+            is SetEvacuated -> {
+                routingTable.setEvacuated(command)
+                ControlResult.Done
+            }
+
             is Expire -> expire()
         }
     }
@@ -136,6 +150,7 @@
             fencing = fencing.values.toList(),
             claims = claims.snapshot(),
             crashes = crashes.snapshot(),
+            routing = routingTable.state,
         ),
     )
 
@@ -149,5 +164,6 @@
         decoded.fencing.associateByTo(fencing) { it.target }
         claims.restore(decoded.claims)
         crashes.restore(decoded.crashes)
+        routingTable.restore(decoded.routing)
     }
 }
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
@@ -0,0 +1,58 @@
+package org.hibiscusproxy.forwarding
+
+import kotlin.time.Duration
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.TargetName
+
+/** One part of a prompt. Prompts with the same leading parts share what an engine cached. */
+data class PromptPart(val identifier: String, val tokens: Long)
+
+/**
+ * A prompt as the caller describes it.
+ *
+ * @property parts leading parts in order; the last one belongs to the request or its session
+ * @property promptTokens tokens to read if nothing is cached
+ * @property outputTokens upper bound of the tokens to generate
+ */
+data class Prompt(
+    val model: String?,
+    val parts: List<PromptPart>,
+    val promptTokens: Long,
+    val outputTokens: Long,
+)
+
+/**
+ * A request that needs a target.
+ *
+ * @property objective time within which the answer is on time, counted from now
+ * @property remaining time until nobody waits for the answer
+ * @property excluded targets that have been tried
+ */
+data class PlacementRequest(
+    val service: ServiceName,
+    val prompt: Prompt?,
+    val objective: Duration,
+    val remaining: Duration,
+    val excluded: Set<TargetName> = emptySet(),
+)
+
+/** Where a request goes, or why it goes nowhere. */
+sealed class PlacementChoice {
+    /** Send it to [target]. */
+    data class Chosen(val target: DiscoveredTarget, val missingTokens: Long) : PlacementChoice()
+
+    /** No target can serve it in time; a place is likely after [retryAfter]. */
+    data class Refused(val reason: RefusalReason, val retryAfter: Duration) : PlacementChoice()
+}
+
+/** Why no target was chosen. */
+enum class RefusalReason {
+    /** The service has no target that may be used. */
+    NO_TARGET,
+
+    /** All targets have so much to do that the answer would come too late. */
+    OVERLOADED,
+
+    /** All usable targets are cold and have had what they bear. */
+    COLD,
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
@@ -0,0 +1,341 @@
+package org.hibiscusproxy.forwarding
+
+import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+import kotlin.time.TimeSource
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.TargetUse
+
+/**
+ * Decides where requests go. It answers three loads: many prompts that share long beginnings (an
+ * engine that has read the beginning is preferred while it is not much busier than the others),
+ * bursts at services with few slots (the least busy target of two drawn at random, so that entries
+ * with the same view do not all choose the same one), and more work than the targets can finish in
+ * time (refused at once, with the time after which a place is likely). Used by one thread.
+ *
+ * @param loadMultiple bound of an engine's requests as a multiple of the mean of its service
+ */
+class TargetBook(
+    private val loadMultiple: Double,
+    private val time: TimeSource.WithComparableMarks,
+    private val random: Random,
+) {
+    private val states = LinkedHashMap<TargetName, TargetState>()
+    private var services: Map<ServiceName, ForwardingService> = emptyMap()
+    private var evacuated: Set<DataCenterName> = emptySet()
+    private val durations = HashMap<ServiceName, ServiceTime>()
+
+    /** Entries that share the targets, as last told; counts this one. */
+    var entries: Int = ASSUMED_ENTRIES
+        private set
+
+    /** Takes the platform's list. A target that is not on it any more is forgotten. */
+    fun takeTargets(targets: List<DiscoveredTarget>) {
+        val now = time.markNow()
+        val names = targets.mapTo(HashSet()) { it.name }
+        states.keys.retainAll(names)
+        for (target in targets) {
+            val state = states[target.name]
+            if (state != null && state.isSameStart(target)) {
+                state.listed = target
+                state.becomeCold(target.coldMilliseconds.milliseconds, now)
+            } else {
+                val memory = services[target.service]?.engine?.memoryTokens ?: 0
+                states[target.name] = TargetState(target, now, memory)
+            }
+        }
+    }
+
+    /** Takes the published services and the data centres that get no new work. */
+    fun takeRouting(published: List<ForwardingService>, evacuatedNow: Set<DataCenterName>) {
+        services = published.associateBy { it.name }
+        evacuated = evacuatedNow
+    }
+
+    /** Takes what all other entries have in progress. */
+    fun takeFleetLoad(entryCount: Int, uses: List<TargetUse>) {
+        entries = entryCount.coerceAtLeast(1)
+        states.values.forEach {
+            it.othersRunning = 0
+            it.othersPendingTokens = 0
+        }
+        uses.forEach { use ->
+            states[use.target]?.let {
+                it.othersRunning = use.running
+                it.othersPendingTokens = use.pendingTokens
+            }
+        }
+    }
+
+    /** What this entry has in progress, for the others. */
+    fun ownUses(): List<TargetUse> = states.values
+        .filter { it.ownRunning > 0 }
+        .map { TargetUse(it.listed.name, it.ownRunning, it.ownPendingTokens) }
+
+    /** Whether any target is known. */
+    val hasTargets: Boolean get() = states.isNotEmpty()
+
+    /** Chooses a target for [request], or refuses it. */
+    fun choose(request: PlacementRequest): PlacementChoice {
+        val now = time.markNow()
+        val usable = states.values.filter { it.isUsable(request) }
+        if (usable.isEmpty()) return refused(RefusalReason.NO_TARGET, NO_TARGET_PAUSE)
+        val sound = usable.filter { !it.health.isSuspended(now) }.ifEmpty { listOf(first(usable)) }
+        val bearable = sound.filter { it.bearsOneMore(now) }
+        if (bearable.isEmpty()) {
+            val pause = sound.minOf { it.coldTime(now) }
+            return refused(RefusalReason.COLD, pause.coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE))
+        }
+        val prompt = request.prompt
+        val isEngine = services[request.service]?.engine != null
+        return if (prompt != null && isEngine) {
+            chooseEngine(request, prompt, bearable, now)
+        } else {
+            chooseLeastBusy(request, bearable)
+        }
+    }
+
+    /** Counts an attempt at [target] as in progress. */
+    fun begin(target: TargetName, prompt: Prompt?): PlacedAttempt {
+        val state = states[target]
+        val missing = if (prompt == null) 0 else state?.memory?.missing(prompt) ?: 0
+        if (state != null) {
+            state.ownRunning += 1
+            state.ownPendingTokens += missing
+            if (state.isCold(time.markNow())) state.takeColdAllowance()
+            prompt?.let(state.memory::add)
+        }
+        return PlacedAttempt(target, state, missing, time.markNow())
+    }
+
+    /** The first part of the answer to [attempt] has come. */
+    fun answered(attempt: PlacedAttempt) {
+        if (attempt.isAnswered) return
+        attempt.isAnswered = true
+        attempt.state?.let { it.ownPendingTokens -= attempt.missingTokens }
+        val service = attempt.state?.listed?.service ?: return
+        durations.getOrPut(service) { ServiceTime() }
+            .firstPart(attempt.startedAt.elapsedNow(), attempt.missingTokens)
+    }
+
+    /** Ends [attempt]. */
+    fun end(attempt: PlacedAttempt, result: AttemptResult) {
+        if (attempt.isEnded) return
+        attempt.isEnded = true
+        val state = attempt.state ?: return
+        state.ownRunning -= 1
+        if (!attempt.isAnswered) state.ownPendingTokens -= attempt.missingTokens
+        state.health.record(result, time.markNow())
+        if (result == AttemptResult.ANSWERED) {
+            durations.getOrPut(state.listed.service) { ServiceTime() }
+                .whole(attempt.startedAt.elapsedNow())
+        }
+    }
+
+    /** The target says that it is cold for [remaining]. */
+    fun reportedCold(target: TargetName, remaining: Duration) {
+        states[target]?.becomeCold(remaining, time.markNow())
+    }
+
+    private fun TargetState.isUsable(request: PlacementRequest): Boolean =
+        listed.service == request.service &&
+            !listed.isLeaving &&
+            listed.dataCenter !in evacuated &&
+            listed.name !in request.excluded
+
+    private fun TargetState.bearsOneMore(now: ComparableTimeMark): Boolean {
+        if (!isCold(now)) return true
+        val rate = services[listed.service]?.coldRequestsPerSecond ?: 0.0
+        if (rate <= 0.0) return true
+        return hasColdAllowance(rate * ColdAllowance.USED_SHARE / entries, now)
+    }
+
+    /** The one that is tried first when all are suspended. */
+    private fun first(usable: List<TargetState>): TargetState = usable.minWith(
+        compareBy(nullsFirst<ComparableTimeMark>()) { it.health.suspensionEnd() },
+    )
+
+    private fun chooseLeastBusy(
+        request: PlacementRequest,
+        targets: List<TargetState>,
+    ): PlacementChoice {
+        val drawn = listOf(targets.random(random), targets.random(random))
+        var best = drawn.minBy(::busyness)
+        val serviceTime = serviceTime(request.service).whole
+        if (best.expectedWait(serviceTime) + serviceTime > request.patience(serviceTime)) {
+            best = targets.minBy(::busyness)
+        }
+        val wait = best.expectedWait(serviceTime)
+        if (wait + serviceTime > request.patience(serviceTime)) {
+            val pause = (wait / 2).coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE)
+            return refused(RefusalReason.OVERLOADED, pause)
+        }
+        return PlacementChoice.Chosen(best.listed, 0)
+    }
+
+    /**
+     * Time that a request may take. While its objective can still be met it has to be, because an
+     * answer that comes late delays all that wait behind it.
+     */
+    private fun PlacementRequest.patience(serviceTime: Duration): Duration =
+        if (objective > serviceTime) minOf(objective, remaining) else remaining
+
+    private fun busyness(state: TargetState): Double {
+        val slots = state.listed.slots.coerceAtLeast(1)
+        return state.running.toDouble() / slots + state.health.failureShare * FAILURE_WEIGHT
+    }
+
+    private fun TargetState.expectedWait(serviceTime: Duration): Duration {
+        val slots = listed.slots.coerceAtLeast(1)
+        val ahead = running - slots + 1
+        return if (ahead <= 0) Duration.ZERO else serviceTime * (ahead.toDouble() / slots)
+    }
+
+    private fun chooseEngine(
+        request: PlacementRequest,
+        prompt: Prompt,
+        targets: List<TargetState>,
+        now: ComparableTimeMark,
+    ): PlacementChoice {
+        val bound = loadBound(request.service)
+        val candidates = targets.filter { it.running + 1 <= bound }.ifEmpty {
+            listOf(targets.minBy { it.running })
+        }
+        val homes = homes(prompt, candidates)
+        val best = candidates.minBy { state ->
+            val cold = if (state.isCold(now)) COLD_TOKENS else 0.0
+            state.pendingTokens + expectedMissing(state, prompt, homes) + cold +
+                state.running * TOKENS_PER_RUNNING + state.health.failureShare * FAILURE_TOKENS
+        }
+        val missing = best.memory.missing(prompt)
+        val wait = serviceTime(request.service).readingTime(best.pendingTokens + missing)
+        if (wait > request.remaining) {
+            val pause = (wait / 2).coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE)
+            return refused(RefusalReason.OVERLOADED, pause)
+        }
+        return PlacementChoice.Chosen(best.listed, missing)
+    }
+
+    /** Requests that an engine of [service] may carry, well below the bound that is promised. */
+    private fun loadBound(service: ServiceName): Double {
+        val pool = states.values.filter { it.listed.service == service && !it.listed.isLeaving }
+        val mean = pool.sumOf { it.running }.toDouble() / pool.size.coerceAtLeast(1)
+        return mean * (1 + (loadMultiple - 1) * BOUND_SHARE) + BOUND_FLOOR
+    }
+
+    /** The engines in the order in which all entries prefer them for the shared parts. */
+    private fun homes(prompt: Prompt, candidates: List<TargetState>): List<TargetState> {
+        val shared = prompt.parts.dropLast(1).lastOrNull() ?: prompt.parts.lastOrNull()
+        val key = shared?.identifier ?: return emptyList()
+        return candidates
+            .sortedByDescending { mix("$key@${it.listed.name}".hashCode()) }
+            .take(HOME_DISCOUNTS.size)
+    }
+
+    /** What the engine has to read, if the other entries sent the shared parts to their homes. */
+    private fun expectedMissing(
+        state: TargetState,
+        prompt: Prompt,
+        homes: List<TargetState>,
+    ): Double {
+        val known = state.memory.missing(prompt).toDouble()
+        val rank = homes.indexOf(state)
+        if (rank < 0) return known
+        val own = prompt.parts.lastOrNull()?.tokens ?: 0
+        val shared = (prompt.promptTokens - own).coerceAtLeast(0)
+        return minOf(known, prompt.promptTokens - shared * HOME_DISCOUNTS[rank])
+    }
+
+    private fun mix(hash: Int): Int {
+        var mixed = hash
+        mixed = (mixed xor (mixed ushr 16)) * -0x7a143595
+        mixed = (mixed xor (mixed ushr 13)) * -0x3d4d51cb
+        return mixed xor (mixed ushr 16)
+    }
+
+    private fun serviceTime(service: ServiceName) = durations.getOrPut(service) { ServiceTime() }
+
+    private fun refused(reason: RefusalReason, pause: Duration): PlacementChoice {
+        val spread = 1 + random.nextDouble() * PAUSE_SPREAD
+        return PlacementChoice.Refused(reason, pause * spread)
+    }
+
+    /** How long a service takes, learnt from answers. */
+    private class ServiceTime {
+        var whole: Duration = 50.milliseconds
+            private set
+        private var tokensPerMillisecond = 20.0
+
+        fun whole(taken: Duration) {
+            whole += (taken - whole) * SMOOTHING
+        }
+
+        fun firstPart(taken: Duration, tokens: Long) {
+            if (tokens < MEASURED_TOKENS) return
+            val speed = tokens / taken.toDouble(DurationUnit.MILLISECONDS).coerceAtLeast(1.0)
+            val weight = if (speed > tokensPerMillisecond) RISE else SMOOTHING
+            tokensPerMillisecond += (speed - tokensPerMillisecond) * weight
+        }
+
+        fun readingTime(tokens: Long): Duration = (tokens / tokensPerMillisecond).milliseconds
+    }
+
+    private companion object {
+        /** Assumed until a controller has told; high, so that cold targets are spared. */
+        const val ASSUMED_ENTRIES = 16
+
+        /** Share of the load multiple's excess that is used: other entries' counts are stale. */
+        const val BOUND_SHARE = 0.5
+
+        /** Requests beyond the multiple that are always allowed, for services with little load. */
+        const val BOUND_FLOOR = 2.0
+
+        /** Share of the shared parts presumed cached at the first and second home. */
+        val HOME_DISCOUNTS = listOf(0.8, 0.4)
+
+        /** A running stream delays a new prompt about as much as reading so many tokens. */
+        const val TOKENS_PER_RUNNING = 100.0
+
+        /** A cold engine is used when the others would have to read this much more. */
+        const val COLD_TOKENS = 4_000.0
+
+        /** An engine that fails all requests is used when the others have this much more to do. */
+        const val FAILURE_TOKENS = 20_000.0
+
+        /** The same for plain services, in multiples of their slots. */
+        const val FAILURE_WEIGHT = 4.0
+
+        /** Weight of the newest of about ten measurements. */
+        const val SMOOTHING = 0.1
+
+        /** Weight of a faster reading, which shows what the engine can do when it is not busy. */
+        const val RISE = 0.5
+
+        /** Shorter prompts measure the engine's step, not its reading. */
+        const val MEASURED_TOKENS = 1_000L
+
+        /** A target that restarts or a list that lags is back after about as long. */
+        val NO_TARGET_PAUSE = 500.milliseconds
+        val SHORTEST_PAUSE = 50.milliseconds
+        val LONGEST_PAUSE = 1_000.milliseconds
+
+        /** Spreads callers that were refused at the same moment. */
+        const val PAUSE_SPREAD = 0.5
+    }
+}
+
+/** An attempt that a [TargetBook] counts as in progress. */
+class PlacedAttempt internal constructor(
+    val target: TargetName,
+    internal val state: TargetState?,
+    internal val missingTokens: Long,
+    internal val startedAt: ComparableTimeMark,
+) {
+    internal var isAnswered = false
+    internal var isEnded = false
+}
