--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -76,7 +76,6 @@
             .register(context.registry)
         val status = StatusHandler(setOf(readinessPath, "/ready"), ::isReady, ::metrics)
         server.listenForStatus(section.readiness, status)
-        server.listenForStatus(settings.administration, status)
         server.listenForCallers(section.listen)
         feed.start()
         scope.launch { reportLoads() }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcessFactory.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcessFactory.kt
@@ -47,11 +47,8 @@
             return Err(StartFailure.BadSetting(failure.message.orEmpty()))
         }
         lateinit var process: FleetProcess
-        // A forwarder serves its state itself.
-        val administration = if (settings.forwarder != null) {
-            null
-        } else {
-            AdministrationServer(settings.administration, registry) { process.isReady }
+        val administration = settings.administration?.let { address ->
+            AdministrationServer(address, registry) { process.isReady }
         }
         process = FleetProcess(roles, administration, events)
         return start(process)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -17,8 +17,11 @@
     val name: ProcessName,
     @Setting("Name of the data centre that the process runs in.")
     val dataCenter: DataCenterName,
-    @Setting("IP number and port where /health, /ready and /metrics are served.")
-    val administration: NetworkAddress,
+    @Setting(
+        "IP number and port where /health, /ready and /metrics are served. A forwarder serves " +
+            "them at its readiness address instead.",
+    )
+    val administration: NetworkAddress? = null,
     @Setting("File with the key that all processes and operators of the fleet share.")
     val fleetKeyFile: String,
     @Setting("The fleet's controllers: name and peer address of each.")
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsReader.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsReader.kt
@@ -48,6 +48,9 @@
         if (settings.name.value.isBlank()) add("name", "must not be blank")
         if (settings.controllers.isEmpty()) add("controllers", "at least one is needed")
         addDuplicateControllers(settings)
+        if (settings.administration == null && settings.forwarder == null) {
+            add("administration", "needed by a process that is no forwarder")
+        }
         settings.controller?.let { addControllerFaults(settings, it) }
         settings.sidecar?.let { addSidecarFaults(it) }
         addSharedListeners(settings)
