Keep prompts at their home engine, reload settings, close kept connections while draining

A connection whose answer began before SIGTERM stayed open, and its next request was cut off at the exit.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Role.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Role.kt
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry
 import kotlin.time.Duration
+import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.transport.FleetKey
 import org.hibiscusproxy.protocol.Incarnation
 import org.hibiscusproxy.timeline.EventRecorder
@@ -14,6 +15,9 @@
     /** Starts listening and working. Throws an input or output error when it cannot listen. */
     suspend fun start()
 
+    /** Takes what may change of the settings while the role runs; nothing by default. */
+    fun reload(settings: Settings) = Unit
+
     /**
      * Takes no new work and finishes what is in progress.
      *
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -14,6 +14,7 @@
 import org.hibiscusproxy.daemon.process.FleetProcess
 import org.hibiscusproxy.daemon.process.FleetProcessFactory
 import org.hibiscusproxy.daemon.process.PlatformAdapters
+import org.hibiscusproxy.daemon.process.SettingsWatch
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.settings.SettingsReader
 import org.slf4j.LoggerFactory
@@ -31,7 +32,10 @@
         }
         LogSetup.apply(settings.logFormat)
         runBlocking { start(settings) }.fold(
-            success = { process -> stopOnSignal(process, settings) },
+            success = { process ->
+                SettingsWatch(Path.of(file), process::reload).start()
+                stopOnSignal(process, settings)
+            },
             failure = { failure ->
                 logger.error("process: Start failed. {}", failure.message)
                 exitProcess(ExitCode.REFUSED.number)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -108,6 +108,11 @@
         LOG.info("controller: operators' interface at {}", operatorAddress)
     }
 
+    /** Makes [controllers] known as processes that a controller without a cluster may join. */
+    fun introduceTo(controllers: List<ProcessName>) {
+        worker.trySubmit(ControllerInput.Contacts(controllers))
+    }
+
     override fun close() {
         routingOperators?.close()
         operators?.close()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -92,6 +92,8 @@
 
             is ControllerInput.Routing -> routing.handle(input.call, input.reply)
 
+            is ControllerInput.Contacts -> log.introduceTo(input.controllers)
+
             is ControllerInput.Tick -> Unit
 
             is ControllerInput.Operator -> operators.handle(input.request, input.reply)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerInput.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerInput.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture
 import org.hibiscusproxy.forwarding.DiscoveredTarget
+import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.PeerMessage
 
 /** Something that the controller's worker acts on, in the order of arrival. */
@@ -22,6 +23,9 @@
     class Routing(val call: RoutingCall, val reply: CompletableFuture<RoutingReply>) :
         ControllerInput()
 
+    /** The settings name [controllers] now. */
+    class Contacts(val controllers: List<ProcessName>) : ControllerInput()
+
     /** Time has passed. */
     data object Tick : ControllerInput()
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
@@ -51,6 +51,10 @@
         scope.launch { onFailure(started.failure.await()) }
     }
 
+    override fun reload(settings: Settings) {
+        controller?.introduceTo(settings.controllers.map { it.name })
+    }
+
     /** A controller has no callers' requests in progress; the others take over at once. */
     override suspend fun drain(timeout: Duration): Int = 0
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -162,6 +162,8 @@
     /** Ends a streamed answer as complete. */
     fun finish() {
         val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        // The head may have gone out before the entry began to drain.
+        if (node.isDraining) keepsOpen = false
         endExchange()
         if (!keepsOpen) written.addListener(ChannelFutureListener.CLOSE) else nextRequest()
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -81,6 +81,8 @@
         scope.launch { reportLoads() }
     }
 
+    override fun reload(settings: Settings) = feed.follow(settings.controllers.map { it.name })
+
     private fun metrics(): String =
         (context.registry as? PrometheusMeterRegistry)?.scrape() ?: "# no metrics\n"
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.coroutineScope
 import org.hibiscusproxy.daemon.Role
 import org.hibiscusproxy.daemon.administration.AdministrationServer
+import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.timeline.EventRecorder
 import org.hibiscusproxy.timeline.FleetEvent
 import org.slf4j.LoggerFactory
@@ -34,6 +35,12 @@
         logger.info("process: Started as {}.", roles.keys.joinToString())
     }
 
+    /** Passes changed [settings] on to all roles. */
+    fun reload(settings: Settings) {
+        logger.info("process: Settings changed, controllers are {}.", settings.controllers)
+        roles.values.forEach { it.reload(settings) }
+    }
+
     /**
      * Becomes unready, takes no new work and waits for what is in progress.
      *
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Formation.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Formation.kt
@@ -54,6 +54,10 @@
         others().forEach { state.send(it, Introduction(state.identity, state.cluster)) }
     }
 
+    fun introduceTo(processes: List<ProcessName>) {
+        heardOf.addAll(processes)
+    }
+
     fun receive(sender: ProcessName, message: Introduction) {
         known[sender] = message.identity
         latest?.let { introducedLast[sender] = it }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -67,6 +67,9 @@
     /** Processes that introduced themselves with an identity that is not a member's. */
     val strangers: Map<ProcessName, Long> get() = formation.strangers
 
+    /** Adds [processes] to those to which this replica introduces itself when it has to. */
+    fun introduceTo(processes: List<ProcessName>) = formation.introduceTo(processes)
+
     /** What [MemberKeeper] needs to know at a leader, or null when this replica does not lead. */
     fun memberView(now: ComparableTimeMark): MemberView? {
         val current = leadership ?: return null
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
@@ -203,17 +203,21 @@
         now: ComparableTimeMark,
     ): PlacementChoice {
         val bound = loadBound(request.service)
-        val candidates = targets.filter { it.running + 1 <= bound }.ifEmpty {
-            listOf(targets.minBy { it.running })
+        val homes = homes(prompt, targets)
+        val timing = serviceTime(request.service)
+        val home = homes.firstOrNull { state ->
+            state.running + 1 <= bound &&
+                !state.isCold(now) &&
+                state.health.failureShare < SOUND_FAILURE_SHARE &&
+                timing.readingTime(state.pendingTokens) < request.objective
         }
-        val homes = homes(prompt, candidates)
-        val best = candidates.minBy { state ->
+        val best = home ?: targets.minBy { state ->
             val cold = if (state.isCold(now)) COLD_TOKENS else 0.0
-            state.pendingTokens + expectedMissing(state, prompt, homes) + cold +
+            state.pendingTokens + state.memory.missing(prompt) + cold +
                 state.running * TOKENS_PER_RUNNING + state.health.failureShare * FAILURE_TOKENS
         }
         val missing = best.memory.missing(prompt)
-        val wait = serviceTime(request.service).readingTime(best.pendingTokens + missing)
+        val wait = timing.readingTime(best.pendingTokens + missing)
         if (wait > request.remaining) {
             val pause = (wait / 2).coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE)
             return refused(RefusalReason.OVERLOADED, pause)
@@ -234,21 +238,6 @@
         val key = shared?.identifier ?: return emptyList()
         return candidates
             .sortedByDescending { mix("$key@${it.listed.name}".hashCode()) }
-            .take(HOME_DISCOUNTS.size)
-    }
-
-    /** What the engine has to read, if the other entries sent the shared parts to their homes. */
-    private fun expectedMissing(
-        state: TargetState,
-        prompt: Prompt,
-        homes: List<TargetState>,
-    ): Double {
-        val known = state.memory.missing(prompt).toDouble()
-        val rank = homes.indexOf(state)
-        if (rank < 0) return known
-        val own = prompt.parts.lastOrNull()?.tokens ?: 0
-        val shared = (prompt.promptTokens - own).coerceAtLeast(0)
-        return minOf(known, prompt.promptTokens - shared * HOME_DISCOUNTS[rank])
     }
 
     private fun mix(hash: Int): Int {
@@ -290,13 +279,13 @@
         const val ASSUMED_ENTRIES = 16
 
         /** Share of the load multiple's excess that is used: other entries' counts are stale. */
-        const val BOUND_SHARE = 0.5
+        const val BOUND_SHARE = 0.8
 
         /** Requests beyond the multiple that are always allowed, for services with little load. */
-        const val BOUND_FLOOR = 2.0
+        const val BOUND_FLOOR = 3.0
 
-        /** Share of the shared parts presumed cached at the first and second home. */
-        val HOME_DISCOUNTS = listOf(0.8, 0.4)
+        /** An engine that fails more of its requests is passed over while others are sound. */
+        const val SOUND_FAILURE_SHARE = 0.3
 
         /** A running stream delays a new prompt about as much as reading so many tokens. */
         const val TOKENS_PER_RUNNING = 100.0
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
 import org.hibiscusproxy.model.ProcessName
 import org.junit.jupiter.api.Nested
 
@@ -22,10 +23,22 @@
         fun `five replicas keep what they acknowledged`() = runSeeds(size = 5)
     }
 
-    private fun runSeeds(size: Int) {
+    /** Wiped and removed replicas come back by introducing themselves; no operator helps. */
+    @Nested
+    inner class AutomaticMembers {
+        @Test
+        fun `three replicas keep what they acknowledged`() =
+            runSeeds(size = 3, MemberKeeper(3, SILENCE_LIMIT))
+
+        @Test
+        fun `five replicas keep what they acknowledged`() =
+            runSeeds(size = 5, MemberKeeper(3, SILENCE_LIMIT))
+    }
+
+    private fun runSeeds(size: Int, keeper: MemberKeeper? = null) {
         var acknowledged = 0
         seeds.forEach { seed ->
-            val simulation = Simulation(seed, size, plan(seed), settings(seed))
+            val simulation = Simulation(seed, size, plan(seed), settings(seed), keeper)
             try {
                 simulation.start()
                 simulation.run(milliseconds = 25_000)
@@ -38,6 +51,10 @@
         assertTrue(acknowledged > 100 * seeds.count(), "only $acknowledged commands acknowledged")
     }
 
+    private companion object {
+        val SILENCE_LIMIT = 2.seconds
+    }
+
     private fun plan(seed: Long) = FaultPlan(
         loss = if (seed % 2 == 0L) 0.1 else 0.01,
         duplicates = 0.03,
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
@@ -23,6 +23,7 @@
     size: Int,
     private val faults: FaultPlan = FaultPlan(),
     settings: ReplicatedLogSettings = ReplicatedLogSettings(ProcessName("-"), emptyList()),
+    private val keeper: MemberKeeper? = null,
 ) {
     val random = Random(seed)
     val checker = HistoryChecker()
@@ -224,9 +225,14 @@
         if (isIntact) change(MembershipChange.Remove(membership.voters.random(random)))
     }
 
-    /** Brings back replicas that are not voters, as an operator or controller does. */
+    /** Brings back replicas that are not voters, as a [keeper] or else an operator does. */
     fun operate() {
         val log = leader?.log ?: return
+        if (keeper != null) {
+            val view = log.memberView(time.markNow()) ?: return
+            keeper.next(view, time.markNow())?.let(::change)
+            return
+        }
         val members = log.membership.members
         replicas.values.forEach { replica ->
             val member = members[replica.name]
