Start sooner and keep requests while starting; copy prompts after their home changed

Cause: after a loss of power of all machines requests were refused for 1.8 s, because processes loaded classes for a second and controllers came up after the forwarders; the callers' only resend fell into the same time. Prompts were read again when targets were added or replaced.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -124,8 +124,8 @@
     private companion object {
         val SHORTEST_PAUSE = 100.milliseconds
 
-        /** A controller that is back is followed again well within the time of contact. */
-        val LONGEST_PAUSE = 800.milliseconds
+        /** Callers wait for a controller that starts together with the entry. */
+        val LONGEST_PAUSE = 300.milliseconds
         val LOG = LoggerFactory.getLogger(ControllerFeed::class.java)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -59,9 +59,14 @@
     private val isRepeatable: Boolean get() = route?.isRepeatable == true
     private val remaining: Duration get() = limit - startedAt.elapsedNow()
 
-    /** Finds the route and sends the request to a target, or answers at once. */
+    /**
+     * Finds the route and sends the request to a target, or answers at once. While the process
+     * starts and has not got routing or targets, the request waits for them for part of its time.
+     */
     fun start() {
-        val index = node.routes ?: return refuse("no-routing", UNREADY_PAUSE)
+        val index = node.routes
+        if (index == null || !node.isServing) return waitForRouting()
+        deadline?.cancel(false)
         val host = head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val found = index.route(host, head.uri().substringBefore('?'))
             ?: return fail(HttpResponseStatus.NOT_FOUND, "no-route", "not-run")
@@ -84,6 +89,21 @@
         place()
     }
 
+    private fun waitForRouting() {
+        val patience = call.patience ?: LONGEST_HOLD
+        val hold = minOf(patience * HELD_SHARE, LONGEST_HOLD) - startedAt.elapsedNow()
+        if (!hold.isPositive()) return refuse("no-routing", UNREADY_PAUSE)
+        node.hold(this)
+        deadline = node.loop.schedule(
+            {
+                node.release(this)
+                refuse("no-routing", UNREADY_PAUSE)
+            },
+            hold.inWholeMilliseconds,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
     private fun drawService(found: ForwardingRoute): ServiceName {
         val total = found.shares.sumOf { it.weight }
         var draw = node.random.nextInt(total)
@@ -104,17 +124,17 @@
             excluded = tried,
         )
         when (val choice = node.book.choose(request)) {
-            is PlacementChoice.Chosen -> attempt(choice.target)
+            is PlacementChoice.Chosen -> attempt(choice.target, choice.cachedAt)
             is PlacementChoice.Refused ->
                 giveUp(choice.reason.name.lowercase().replace('_', '-'), choice.retryAfter)
         }
     }
 
-    private fun attempt(target: DiscoveredTarget) {
+    private fun attempt(target: DiscoveredTarget, cachedAt: DiscoveredTarget?) {
         tried += target.name
         lastTarget = target.name
         attempts += 1
-        val next = Attempt(target, node.book.begin(target.name, call.prompt))
+        val next = Attempt(target, cachedAt, node.book.begin(target.name, call.prompt))
         current = next
         val kept = node.pool.takeIdle(target.name)
         if (kept != null) next.send(kept) else node.pool.connect(target, next::connected)
@@ -214,6 +234,7 @@
 
     private fun end(outcome: String, reason: String) {
         isDone = true
+        node.release(this)
         deadline?.cancel(false)
         body.release()
         node.log.finished(
@@ -232,8 +253,11 @@
     }
 
     /** One sending to one target. */
-    private inner class Attempt(val target: DiscoveredTarget, private val placed: PlacedAttempt) :
-        AnswerListener {
+    private inner class Attempt(
+        val target: DiscoveredTarget,
+        private val cachedAt: DiscoveredTarget?,
+        private val placed: PlacedAttempt,
+    ) : AnswerListener {
         var connection: TargetConnection? = null
             private set
         private var isOver = false
@@ -284,6 +308,7 @@
                     remaining.inWholeMilliseconds.coerceAtLeast(1),
                     urgency().takeIf { isEngine },
                     events?.lastIdentifier ?: call.resumesAfter,
+                    cachedAt?.address,
                 ),
             )
             val hasBody = body.isReadable ||
@@ -389,6 +414,12 @@
         /** The target's own answer to its deadline arrives a little after it. */
         val ANSWER_GRACE = 100.milliseconds
 
+        /** Share of a caller's time for which its request waits for routing. */
+        const val HELD_SHARE = 0.5
+
+        /** Controllers that start with the entry have elected a leader by then. */
+        val LONGEST_HOLD = 2_500.milliseconds
+
         /** Routing arrives within about this time of a start. */
         val UNREADY_PAUSE = 500.milliseconds
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -50,6 +50,25 @@
     /** Requests in progress. */
     var exchanges = 0
 
+    private val held = LinkedHashSet<Exchange>()
+
+    /** Keeps [exchange] until routing and targets are known, or until it gives up. */
+    fun hold(exchange: Exchange) {
+        held += exchange
+    }
+
+    /** [exchange] does not wait any more. */
+    fun release(exchange: Exchange) {
+        held -= exchange
+    }
+
+    private fun startHeld() {
+        if (!isServing) return
+        val waiting = held.toList()
+        held.clear()
+        waiting.forEach { it.start() }
+    }
+
     /** Whether the entry can serve: it knows routes and targets. */
     val isServing: Boolean get() = routes != null && book.hasTargets
 
@@ -67,12 +86,14 @@
             configuration.routes.size,
             update.evacuated,
         )
+        startHeld()
     }
 
     /** Takes the platform's list. */
     fun take(targets: List<DiscoveredTarget>) {
         book.takeTargets(targets)
         pool.prune(targets.mapTo(HashSet()) { it.name })
+        startHeld()
     }
 
     /** Takes what the other entries have in progress. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
 import org.hibiscusproxy.forwarding.Prompt
+import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.model.TeamName
 
@@ -49,6 +50,7 @@
  * @property remainingMilliseconds time after which nobody waits for the answer
  * @property urgency rank at a model engine, 0 first; null at plain services
  * @property resumesAfter identifier of the last event that the caller has
+ * @property cachedAt engine from which the target should copy what it lacks of the prompt
  */
 data class TargetCall(
     val target: TargetName,
@@ -56,6 +58,7 @@
     val remainingMilliseconds: Long,
     val urgency: Int?,
     val resumesAfter: String?,
+    val cachedAt: NetworkAddress?,
 )
 
 /** Whether a target ran a request. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -72,13 +72,10 @@
         return heard >= next.majority
     }
 
-    /** When [process] answered last, or the beginning of the term; null for this replica. */
-    fun lastContact(process: ProcessName): ComparableTimeMark? = if (process ==
-        state.name
-    ) {
-        null
-    } else {
-        peers[process]?.contact?.let { maxOf(it, since) } ?: since
+    /** When [process] answered last, or was added if it has not; null for this replica. */
+    fun lastContact(process: ProcessName): ComparableTimeMark? {
+        val peer = peers[process] ?: return null
+        return maxOf(peer.contact ?: peer.addedAt, peer.addedAt)
     }
 
     fun receive(sender: ProcessName, reply: HeartbeatReply) {
@@ -146,7 +143,9 @@
         peers.entries.removeIf { (process, peer) -> members[process]?.identity != peer.identity }
         members.forEach { (process, member) ->
             if (process != state.name) {
-                peers.getOrPut(process) { PeerProgress(member.identity, state.log.lastIndex) }
+                peers.getOrPut(process) {
+                    PeerProgress(member.identity, state.log.lastIndex, latest)
+                }
             }
         }
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MemberKeeper.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MemberKeeper.kt
@@ -65,7 +65,7 @@
     /** Processes that introduced themselves lately with an identity that is no member's. */
     val strangers: Map<ProcessName, Long>
 
-    /** When [process] last answered, or when the term began if it has not; null for the leader. */
+    /** When [process] last answered, or was added if it has not; null for the leader. */
     fun lastContact(process: ProcessName): ComparableTimeMark?
 
     /** Whether the leader would propose [change] now. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/PeerProgress.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/PeerProgress.kt
@@ -3,7 +3,11 @@
 import kotlin.time.ComparableTimeMark
 
 /** What a leader knows about one other member. */
-internal class PeerProgress(val identity: Long, var nextIndex: Long) {
+internal class PeerProgress(
+    val identity: Long,
+    var nextIndex: Long,
+    val addedAt: ComparableTimeMark,
+) {
     /** Newest index that the member holds durably and that matches the leader's log. */
     var matchIndex: Long = 0
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
@@ -38,8 +38,13 @@
 
 /** Where a request goes, or why it goes nowhere. */
 sealed class PlacementChoice {
-    /** Send it to [target]. */
-    data class Chosen(val target: DiscoveredTarget, val missingTokens: Long) : PlacementChoice()
+    /**
+     * Send it to [target].
+     *
+     * @property cachedAt engine from which the target should copy the parts that it lacks
+     */
+    data class Chosen(val target: DiscoveredTarget, val cachedAt: DiscoveredTarget? = null) :
+        PlacementChoice()
 
     /** No target can serve it in time; a place is likely after [retryAfter]. */
     data class Refused(val reason: RefusalReason, val retryAfter: Duration) : PlacementChoice()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
@@ -175,7 +175,7 @@
             val pause = (wait / 2).coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE)
             return refused(RefusalReason.OVERLOADED, pause)
         }
-        return PlacementChoice.Chosen(best.listed, 0)
+        return PlacementChoice.Chosen(best.listed)
     }
 
     /**
@@ -222,9 +222,24 @@
             val pause = (wait / 2).coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE)
             return refused(RefusalReason.OVERLOADED, pause)
         }
-        return PlacementChoice.Chosen(best.listed, missing)
+        return PlacementChoice.Chosen(best.listed, copySource(best, missing, prompt, now)?.listed)
     }
 
+    /**
+     * The engine from which [best] should copy the prompt's beginning, as after its home has
+     * changed: copying is faster than reading it again. Null when no engine has much more of it.
+     */
+    private fun copySource(
+        best: TargetState,
+        missing: Long,
+        prompt: Prompt,
+        now: ComparableTimeMark,
+    ): TargetState? = states.values
+        .filter { it !== best && it.listed.service == best.listed.service }
+        .filter { !it.health.isSuspended(now) }
+        .minByOrNull { it.memory.missing(prompt) }
+        ?.takeIf { it.memory.missing(prompt) + COPIED_TOKENS <= missing }
+
     /** Requests that an engine of [service] may carry, well below the bound that is promised. */
     private fun loadBound(service: ServiceName): Double {
         val pool = states.values.filter { it.listed.service == service && !it.listed.isLeaving }
@@ -305,6 +320,9 @@
         /** Weight of a faster reading, which shows what the engine can do when it is not busy. */
         const val RISE = 0.5
 
+        /** Copying fewer tokens than this takes about as long as reading them. */
+        const val COPIED_TOKENS = 256L
+
         /** Shorter prompts measure the engine's step, not its reading. */
         const val MEASURED_TOKENS = 1_000L
 
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetBookTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetBookTest.kt
@@ -85,7 +85,10 @@
             val second = book(*targets, seed = 2)
             for (subject in 1..50) {
                 val prompt = prompt("subject-$subject")
-                assertEquals(first.chosen(request(prompt = prompt)), second.chosen(request(prompt = prompt)))
+                assertEquals(
+                    first.chosen(request(prompt = prompt)),
+                    second.chosen(request(prompt = prompt)),
+                )
             }
         }
 
