--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/EventSplitter.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/EventSplitter.kt
@@ -36,14 +36,21 @@
     private fun endOfLastEvent(): Int {
         var index = partial.writerIndex() - 1
         while (index > partial.readerIndex()) {
-            if (partial.getByte(index) == LINE_END && partial.getByte(index - 1) == LINE_END) {
-                return index + 1
-            }
+            if (partial.getByte(index) == LINE_END && endsBlankLine(index)) return index + 1
             index -= 1
         }
         return partial.readerIndex()
     }
 
+    /** Lines end with a line feed, which a carriage return may precede. */
+    private fun endsBlankLine(index: Int): Boolean {
+        if (partial.getByte(index - 1) == LINE_END) return true
+        val isAfterReturn = partial.getByte(index - 1) == RETURN
+        return isAfterReturn &&
+            index - 2 >= partial.readerIndex() &&
+            partial.getByte(index - 2) == LINE_END
+    }
+
     private fun rememberIdentifier(events: ByteBuf) {
         if (!events.isReadable) return
         val lines = events.toString(UTF_8).split('\n')
@@ -53,6 +60,7 @@
 
     private companion object {
         const val LINE_END = '\n'.code.toByte()
+        const val RETURN = '\r'.code.toByte()
         const val IDENTIFIER_FIELD = "id:"
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -346,7 +346,7 @@
                 return
             }
             val isStream = isSuccess && events != null
-            if (!isSuccess && isRepeatable && answerStatus >= SERVER_FAILURE && mayTryAgain()) {
+            if (answerStatus >= SERVER_FAILURE && mayTryAgain()) {
                 isPassedOver = true
                 return
             }
@@ -356,7 +356,8 @@
             caller.writeHead(response)
         }
 
-        private fun mayTryAgain() = runs + 1 < (route?.maximumTargets ?: 1) &&
+        private fun mayTryAgain() = isRepeatable &&
+            runs + 1 < (route?.maximumTargets ?: 1) &&
             remaining > SHORTEST_ATTEMPT
 
         private fun invalid(reason: String) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
@@ -203,7 +203,7 @@
         now: ComparableTimeMark,
     ): PlacementChoice {
         val bound = loadBound(request.service)
-        val homes = homes(prompt, targets)
+        val homes = homes(prompt, targets.filter { !it.health.isSuspended(now) })
         val timing = serviceTime(request.service)
         val home = homes.firstOrNull { state ->
             state.running + 1 <= bound &&
@@ -222,23 +222,32 @@
             val pause = (wait / 2).coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE)
             return refused(RefusalReason.OVERLOADED, pause)
         }
-        return PlacementChoice.Chosen(best.listed, copySource(best, missing, prompt, now)?.listed)
+        return PlacementChoice.Chosen(best.listed, copySource(best, missing, prompt, homes)?.listed)
     }
 
     /**
-     * The engine from which [best] should copy the prompt's beginning, as after its home has
-     * changed: copying is faster than reading it again. Null when no engine has much more of it.
+     * The engine from which [best] should copy the prompt's beginning, because copying is faster
+     * than reading it again: one that has read it for this entry, or else the one to which the
+     * other entries sent it, which is its usual home, or its home before [best] was added.
      */
     private fun copySource(
         best: TargetState,
         missing: Long,
         prompt: Prompt,
-        now: ComparableTimeMark,
-    ): TargetState? = states.values
-        .filter { it !== best && it.listed.service == best.listed.service }
-        .filter { !it.health.isSuspended(now) }
-        .minByOrNull { it.memory.missing(prompt) }
-        ?.takeIf { it.memory.missing(prompt) + COPIED_TOKENS <= missing }
+        homes: List<TargetState>,
+    ): TargetState? {
+        val now = time.markNow()
+        val others = states.values.filter {
+            it !== best && it.listed.service == best.listed.service && !it.health.isSuspended(now)
+        }
+        val reader = others.minByOrNull { it.memory.missing(prompt) }
+        if (reader != null && reader.memory.missing(prompt) + COPIED_TOKENS <= missing) {
+            return reader
+        }
+        if (missing < COPIED_TOKENS) return null
+        val usual = homes.firstOrNull { it !== best }
+        return usual.takeIf { best !== homes.first() || best.isNew(now) }
+    }
 
     /** Requests that an engine of [service] may carry, well below the bound that is promised. */
     private fun loadBound(service: ServiceName): Double {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
@@ -3,6 +3,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** What one entry knows of one target. */
 internal class TargetState(
@@ -28,6 +29,11 @@
     val running: Int get() = ownRunning + othersRunning
     val pendingTokens: Long get() = ownPendingTokens + othersPendingTokens
 
+    private val addedAt = now
+
+    /** Whether other entries may still remember an engine that held this one's prompts before. */
+    fun isNew(now: ComparableTimeMark): Boolean = now - addedAt < NEW_TIME
+
     init {
         becomeCold(listed.coldMilliseconds.milliseconds, now)
     }
@@ -52,4 +58,9 @@
             next.startedAt == null || listed.startedAt == null ||
                 next.startedAt == listed.startedAt
             )
+
+    private companion object {
+        /** Most prompts that are in use have come again by then. */
+        val NEW_TIME = 20.seconds
+    }
 }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetBookTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetBookTest.kt
@@ -108,6 +108,22 @@
             assertTrue(running.getValue(home) > mean, "$running")
         }
 
+        @Test
+        fun `a prompt whose home was added is copied from its home before`() {
+            val before = (1..5).map { target(it) }
+            val book = book(*before.toTypedArray())
+            time += 60.seconds
+            val homes = (1..50).associateWith { book.chosen(request(prompt = prompt("s-$it"))) }
+            book.takeTargets(before + target(6))
+            val moved = homes.filter { (subject, home) ->
+                val choice = book.choose(request(prompt = prompt("s-$subject")))
+                val chosen = assertIs<PlacementChoice.Chosen>(choice)
+                if (chosen.target.name != home) assertEquals(home, chosen.cachedAt?.name)
+                chosen.target.name != home
+            }
+            assertTrue(moved.size in 1..25, "${moved.size} of 50 moved")
+        }
+
         @Test
         fun `work of other entries counts`() {
             val book = book(target(1), target(2))
