Never join the answers of two targets; replace short answers that break off

A safe request's first target broke off after part of its body had been passed on, and the answer of a second one followed it. Only streams on resumable routes may go on at another target after the head was sent.

Short answers on safe routes are now passed on once they are whole, so that callers get the second target's answer instead of a torn one.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
 import java.nio.charset.StandardCharsets.UTF_8
@@ -23,6 +24,7 @@
 import org.hibiscusproxy.forwarding.PlacedAttempt
 import org.hibiscusproxy.forwarding.PlacementChoice
 import org.hibiscusproxy.forwarding.PlacementRequest
+import org.hibiscusproxy.forwarding.RequestKind
 import org.hibiscusproxy.forwarding.TeamAccess
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
@@ -168,6 +170,8 @@
         }
         val isAllowed = when {
             remaining < SHORTEST_ATTEMPT || attempts >= MAXIMUM_ATTEMPTS -> false
+            // Two runs can only be joined between whole events.
+            isHeadSent && events == null -> false
             isNotRun -> true
             else -> isRepeatable && runs < (route?.maximumTargets ?: 1)
         }
@@ -264,6 +268,8 @@
         private var answerStatus = 0
         private var isPassedOver = false
         private var isStatedNotRun = false
+        private var heldHead: HttpResponse? = null
+        private var heldBody: ByteBuf? = null
 
         /** Whether no byte of the request left for the target. */
         var wasNeverSent = true
@@ -293,9 +299,15 @@
 
         private fun over(result: AttemptResult) {
             isOver = true
+            if (result != AttemptResult.ANSWERED) dropHeld()
             node.book.end(placed, result)
         }
 
+        private fun dropHeld() {
+            heldBody?.release()
+            heldBody = null
+        }
+
         private fun targetRequest(): DefaultFullHttpRequest {
             val headers = DefaultHttpHeaders()
             headers.set(head.headers())
@@ -350,12 +362,25 @@
                 isPassedOver = true
                 return
             }
-            isHeadSent = true
-            status = answerStatus
+            if (isSuccess && mayHold(response)) {
+                heldHead = response
+                heldBody = Unpooled.buffer()
+                return
+            }
             if (!isStream) events = null
+            passHead(response)
+        }
+
+        private fun passHead(response: HttpResponse) {
+            isHeadSent = true
+            status = response.status().code()
             caller.writeHead(response)
         }
 
+        /** A short answer is passed on once it is whole, so that a broken one can be replaced. */
+        private fun mayHold(response: HttpResponse): Boolean = route?.kind == RequestKind.SAFE &&
+            HttpUtil.getContentLength(response, Long.MAX_VALUE) <= HELD_BYTES
+
         private fun mayTryAgain() = isRepeatable &&
             runs + 1 < (route?.maximumTargets ?: 1) &&
             remaining > SHORTEST_ATTEMPT
@@ -367,6 +392,10 @@
 
         override fun onContent(content: HttpContent) {
             if (isPassedOver || isOver) return
+            heldBody?.let {
+                it.writeBytes(content.content())
+                return
+            }
             val splitter = events
             val bytes = splitter?.take(content.content()) ?: content.content().retain()
             if (bytes.isReadable) caller.writeContent(bytes) else bytes.release()
@@ -390,6 +419,9 @@
                 },
             )
             current = null
+            heldHead?.let(::passHead)
+            heldBody?.let(caller::writeContent)
+            heldBody = null
             end("answered", "complete")
             caller.finish()
         }
@@ -406,6 +438,9 @@
         val SUCCESS = 200..299
         const val SERVER_FAILURE = 500
 
+        /** Answers of plain services are smaller; longer ones are passed on as they come. */
+        const val HELD_BYTES = 65_536L
+
         /** Targets tried for one request, most of which were not reached or stated not run. */
         const val MAXIMUM_ATTEMPTS = 4
 
