Send routing to entries as differences, from the leader only

Every controller pushed the whole configuration to every entry on each change, so that an entry got 400 routes three times.

Now the leader sends what changed and the others announce the revision; an entry asks for what it missed.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -5,10 +5,14 @@
 import kotlin.time.TimeSource
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.forwarding.DiscoveredTarget
+import org.hibiscusproxy.forwarding.RoutingConfiguration
+import org.hibiscusproxy.forwarding.RoutingDifference
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingCurrent
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.RoutingUpdate
@@ -32,6 +36,9 @@
     private var announcedAt = time.markNow()
     private var loadSentAt = time.markNow()
 
+    private val history = LinkedHashMap<Long, RoutingConfiguration?>()
+    private var announcedRevision = 0L
+
     fun subscribe(session: PeerSession, request: RoutingRequest) {
         val isNew = session !in subscribers
         val subscriber = subscribers.getOrPut(session) { Subscriber(session) }
@@ -60,11 +67,16 @@
 
     /** Sends what has changed or is due. */
     fun advance() {
+        remember()
         val revision = state.routing.revision
-        subscribers.values.forEach { if (it.sentRevision < revision) it.push(it.sentRevision) }
+        // The others announce the revision, and entries ask them for it if the leader's is late.
+        if (isLeading()) {
+            subscribers.values.forEach { if (it.sentRevision < revision) it.push(it.sentRevision) }
+        }
         val now = time.markNow()
-        if (now - announcedAt >= ANNOUNCEMENT_INTERVAL) {
+        if (now - announcedAt >= ANNOUNCEMENT_INTERVAL || announcedRevision < revision) {
             announcedAt = now
+            announcedRevision = revision
             val current = current()
             subscribers.keys.forEach { it.send(current) }
         }
@@ -74,6 +86,13 @@
         }
     }
 
+    private fun remember() {
+        val routing = state.routing
+        if (routing.revision in history) return
+        history[routing.revision] = routing.configuration
+        if (history.size > KEPT_REVISIONS) history.remove(history.keys.first())
+    }
+
     private fun sendLoads(now: ComparableTimeMark) {
         val reporting = subscribers.values.filter { it.isReporting(now) }
         val totals = HashMap<TargetName, TargetUse>()
@@ -111,9 +130,20 @@
             sentRevision = maxOf(sentRevision, known)
             if (routing.revision <= known) return
             sentRevision = routing.revision
-            session.send(
-                RoutingUpdate(routing.revision, routing.configuration, routing.evacuated),
-            )
+            session.send(change(known) ?: update())
+        }
+
+        private fun update(): ControlMessage {
+            val routing = state.routing
+            return RoutingUpdate(routing.revision, routing.configuration, routing.evacuated)
+        }
+
+        private fun change(known: Long): ControlMessage? {
+            val routing = state.routing
+            val base = history[known] ?: return null
+            val next = routing.configuration ?: return null
+            val difference = if (base == next) null else RoutingDifference.between(base, next)
+            return RoutingChange(known, routing.revision, difference, routing.evacuated)
         }
 
         fun othersOf(totals: Map<TargetName, TargetUse>): List<TargetUse> = totals.values
@@ -130,6 +160,9 @@
     }
 
     private companion object {
+        /** Entries that missed more changes get the whole configuration. */
+        const val KEPT_REVISIONS = 8
+
         /** A third of the time after which an entry takes a silent controller for lost. */
         val ANNOUNCEMENT_INTERVAL = 300.milliseconds
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -17,6 +17,7 @@
 import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingCurrent
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.RoutingUpdate
@@ -107,7 +108,7 @@
                 if (message.revision > known) opened.send(RoutingRequest(known))
             }
             when (message) {
-                is RoutingUpdate, is TargetList, is FleetLoad -> receive(message)
+                is RoutingUpdate, is RoutingChange, is TargetList, is FleetLoad -> receive(message)
                 else -> Unit
             }
         }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -26,6 +26,7 @@
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingUpdate
 import org.hibiscusproxy.protocol.TargetList
 
@@ -89,6 +90,7 @@
     private fun received(message: PeerMessage) = loop.execute {
         when (message) {
             is RoutingUpdate -> node.take(message)
+            is RoutingChange -> node.take(message)
             is TargetList -> node.take(message.targets)
             is FleetLoad -> node.take(message)
             else -> Unit
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -11,6 +11,7 @@
 import org.hibiscusproxy.forwarding.RouteIndex
 import org.hibiscusproxy.forwarding.TargetBook
 import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingUpdate
 import org.slf4j.LoggerFactory
 
@@ -89,6 +90,14 @@
         startHeld()
     }
 
+    /** Puts [change] in force if it follows the routing here; else a whole update has to come. */
+    fun take(change: RoutingChange) {
+        val base = routes?.configuration ?: return
+        if (change.base != revision) return
+        val next = change.difference?.applyTo(base) ?: base
+        take(RoutingUpdate(change.revision, next, change.evacuated))
+    }
+
     /** Takes the platform's list. */
     fun take(targets: List<DiscoveredTarget>) {
         book.takeTargets(targets)
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingDifference.kt
@@ -0,0 +1,53 @@
+package org.hibiscusproxy.forwarding
+
+import kotlinx.serialization.Serializable
+
+/**
+ * What turns one [RoutingConfiguration] into another. Routes are told apart by host and prefix,
+ * which no two routes share; their order has no meaning.
+ *
+ * @property teams all teams, or null when they are the same
+ */
+@Serializable
+data class RoutingDifference(
+    val version: Long,
+    val removed: List<RoutePlace> = emptyList(),
+    val changed: List<ForwardingRoute> = emptyList(),
+    val services: List<ForwardingService>? = null,
+    val teams: List<TeamAccess>? = null,
+    val limits: CallerLimits,
+) {
+    /** The configuration that follows [base]. */
+    fun applyTo(base: RoutingConfiguration): RoutingConfiguration {
+        val replaced = removed.toSet() + changed.map { it.place }
+        return RoutingConfiguration(
+            version = version,
+            routes = base.routes.filter { it.place !in replaced } + changed,
+            services = services ?: base.services,
+            teams = teams ?: base.teams,
+            limits = limits,
+        )
+    }
+
+    companion object {
+        /** What leads from [base] to [next]. */
+        fun between(base: RoutingConfiguration, next: RoutingConfiguration): RoutingDifference {
+            val before = base.routes.associateBy { it.place }
+            val after = next.routes.mapTo(HashSet()) { it.place }
+            return RoutingDifference(
+                version = next.version,
+                removed = before.keys.filter { it !in after },
+                changed = next.routes.filter { before[it.place] != it },
+                services = next.services.takeIf { it != base.services },
+                teams = next.teams.takeIf { it != base.teams },
+                limits = next.limits,
+            )
+        }
+    }
+}
+
+/** Host and path prefix of a route. */
+@Serializable
+data class RoutePlace(val host: String, val pathPrefix: String)
+
+internal val ForwardingRoute.place: RoutePlace get() = RoutePlace(host, pathPrefix)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.RoutingConfiguration
+import org.hibiscusproxy.forwarding.RoutingDifference
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.TargetName
@@ -22,6 +23,16 @@
     @SerialName("e") val evacuated: Set<DataCenterName>,
 ) : ControlMessage()
 
+/** Turns the routing at [base] into that at [revision]; without [difference] only evacuations. */
+@Serializable
+@SerialName("fd")
+data class RoutingChange(
+    @SerialName("b") val base: Long,
+    @SerialName("v") val revision: Long,
+    @SerialName("d") val difference: RoutingDifference?,
+    @SerialName("e") val evacuated: Set<DataCenterName>,
+) : ControlMessage()
+
 /**
  * Sent at an interval: the revision that a controller has applied.
  *
