--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsPage.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsPage.kt
@@ -24,6 +24,7 @@
         appendSection("Every process", Settings.serializer().descriptor, sample())
         appendSection("controllers[]", ControllerAddress.serializer().descriptor, null)
         appendSection("entry", EntrySettings.serializer().descriptor, sample("entry"))
+        appendSection("forwarder", ForwarderSettings.serializer().descriptor, sample("forwarder"))
         appendSection("sidecar", SidecarSettings.serializer().descriptor, sample("sidecar"))
         appendSection(
             "controller",
@@ -77,12 +78,12 @@
         val settings = Settings(
             name = ProcessName("name"),
             dataCenter = DataCenterName("data-center"),
-            administration = address,
             fleetKeyFile = "fleet.key",
             controllers = emptyList(),
             entry = EntrySettings(address),
+            forwarder = ForwarderSettings(address, address, address),
             sidecar = SidecarSettings(TargetName("target"), address, "http://127.0.0.1:1"),
-            controller = ControllerSettings(address, address, "data"),
+            controller = ControllerSettings(address, dataFolder = "data"),
         )
         val whole = json.encodeToJsonElement(Settings.serializer(), settings) as JsonObject
         return if (section == null) whole else whole.getValue(section) as JsonObject
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsShapeCheck.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsShapeCheck.kt
@@ -84,7 +84,7 @@
         val text = (element as? JsonPrimitive)?.takeIf { it.isString }?.content
         when {
             text == null -> expect(path, element, "a text")
-            descriptor.serialName != ADDRESS_SERIAL_NAME -> Unit
+            descriptor.serialName.removeSuffix("?") != ADDRESS_SERIAL_NAME -> Unit
             runCatching { NetworkAddress.parse(text) }.isFailure ->
                 expect(path, element, "an address such as 127.0.0.1:8080")
         }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/settings/SettingsReaderTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/settings/SettingsReaderTest.kt
@@ -49,8 +49,9 @@
             assertEquals(
                 listOf(
                     "colour: unknown setting, expected one of name, dataCenter, administration, " +
-                        "fleetKeyFile, controllers, eventFile, logFormat, shutdownSeconds, " +
-                        "entry, sidecar, controller",
+                        "fleetKeyFile, controllers, controllerPeerPort, contactMilliseconds, " +
+                        "eventFile, logFormat, shutdownSeconds, entry, forwarder, sidecar, " +
+                        "controller",
                     "dataCenter: expected a text, found 7",
                     "administration: expected an address such as 127.0.0.1:8080, " +
                         "found \"127.0.0.1\"",
