--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/MemberKeeperTest.kt
@@ -0,0 +1,105 @@
+package org.hibiscusproxy.consensus
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+import org.hibiscusproxy.model.ProcessName
+import org.junit.jupiter.api.Nested
+
+class MemberKeeperTest {
+    private val time = TestTimeSource()
+    private val start = time.markNow()
+    private val keeper = MemberKeeper(minimumVoters = 3, silenceLimit = 10.seconds)
+
+    private class View(
+        voters: Map<String, Long>,
+        nonVoters: Map<String, Long> = emptyMap(),
+        strangers: Map<String, Long> = emptyMap(),
+        private val contacts: Map<String, ComparableTimeMark> = emptyMap(),
+        private val refused: Set<MembershipChange> = emptySet(),
+    ) : MemberView {
+        override val membership = Membership(
+            voters.map { (name, identity) -> ProcessName(name) to Member(identity, true) }.toMap() +
+                nonVoters.map { (name, identity) -> ProcessName(name) to Member(identity, false) },
+        )
+        override val strangers = strangers.mapKeys { ProcessName(it.key) }
+
+        override fun lastContact(process: ProcessName) = contacts[process.value]
+
+        override fun isPossible(change: MembershipChange) = change !in refused
+    }
+
+    private val three = mapOf("a" to 1L, "b" to 2L, "c" to 3L)
+
+    @Nested
+    inner class Strangers {
+        @Test
+        fun `with a new name are added as non-voters`() {
+            val view = View(three, strangers = mapOf("d" to 4L))
+            val expected = MembershipChange.AddNonVoter(ProcessName("d"), 4)
+            assertEquals(expected, keeper.next(view, start))
+        }
+
+        @Test
+        fun `with a member's name have lost their disk, so that their old identity goes first`() {
+            val view = View(three, strangers = mapOf("c" to 9L))
+            assertEquals(MembershipChange.Remove(ProcessName("c")), keeper.next(view, start))
+        }
+
+        @Test
+        fun `wait while their change is not possible`() {
+            val add = MembershipChange.AddNonVoter(ProcessName("d"), 4)
+            val view = View(three, strangers = mapOf("d" to 4L), refused = setOf(add))
+            assertNull(keeper.next(view, start))
+        }
+    }
+
+    @Nested
+    inner class NonVoters {
+        @Test
+        fun `are promoted as soon as they have caught up`() {
+            val promote = MembershipChange.Promote(ProcessName("d"))
+            val late = View(three, mapOf("d" to 4L), refused = setOf(promote))
+            assertNull(keeper.next(late, start))
+            assertEquals(promote, keeper.next(View(three, mapOf("d" to 4L)), start))
+        }
+
+        @Test
+        fun `that were just added are not silent, however long the leader has led`() {
+            time += 60.seconds
+            val contacts = mapOf("d" to time.markNow())
+            val promote = MembershipChange.Promote(ProcessName("d"))
+            val view = View(three, mapOf("d" to 4L), contacts = contacts, refused = setOf(promote))
+            assertNull(keeper.next(view, time.markNow()))
+        }
+    }
+
+    @Nested
+    inner class SilentVoters {
+        private val contacts = mapOf("c" to start)
+
+        @Test
+        fun `stay while no others could tolerate a loss in their place`() {
+            time += 11.seconds
+            assertNull(keeper.next(View(three, contacts = contacts), time.markNow()))
+        }
+
+        @Test
+        fun `are removed once their successor votes`() {
+            time += 11.seconds
+            val view = View(three + ("d" to 4L), contacts = contacts)
+            val expected = MembershipChange.Remove(ProcessName("c"))
+            assertEquals(expected, keeper.next(view, time.markNow()))
+        }
+
+        @Test
+        fun `stay for the limit`() {
+            time += 9.seconds
+            val view = View(three + ("d" to 4L), contacts = contacts)
+            assertNull(keeper.next(view, time.markNow()))
+        }
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/RoutingTableTest.kt
@@ -0,0 +1,75 @@
+package org.hibiscusproxy.control
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import org.hibiscusproxy.forwarding.RoutingConfiguration
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.protocol.Payload
+import org.junit.jupiter.api.Nested
+
+class RoutingTableTest {
+    private val state = ControlState()
+    private var index = 0L
+
+    private fun run(command: ControlCommand) {
+        index += 1
+        state.apply(index, ControlCodec.encode(command))
+    }
+
+    private fun publish(version: Long, content: String = "v$version") = run(
+        PublishRouting(RoutingConfiguration(version), Payload.of(content), FleetInstant.ZERO),
+    )
+
+    private fun evacuate(name: String, isEvacuated: Boolean) =
+        run(SetEvacuated(DataCenterName(name), isEvacuated, FleetInstant.ZERO))
+
+    @Nested
+    inner class Configurations {
+        @Test
+        fun `the highest version wins, in whatever order they come`() {
+            listOf(4L, 9L, 7L, 9L).forEach { publish(it) }
+            assertEquals(9L, state.routing.configuration?.version)
+            assertEquals(Payload.of("v9"), state.routing.document)
+            assertEquals(2L, state.routing.revision)
+        }
+
+        @Test
+        fun `other content under the version held changes nothing`() {
+            publish(5, "first")
+            publish(5, "second")
+            assertEquals(Payload.of("first"), state.routing.document)
+            assertEquals(1L, state.routing.revision)
+        }
+    }
+
+    @Nested
+    inner class Evacuations {
+        @Test
+        fun `sent again change nothing`() {
+            evacuate("a", true)
+            evacuate("a", true)
+            assertEquals(setOf(DataCenterName("a")), state.routing.evacuated)
+            assertEquals(1L, state.routing.revision)
+            evacuate("a", false)
+            assertEquals(2L, state.routing.revision)
+        }
+
+        @Test
+        fun `outlast a new configuration`() {
+            evacuate("a", true)
+            publish(1)
+            assertEquals(setOf(DataCenterName("a")), state.routing.evacuated)
+        }
+    }
+
+    @Nested
+    inner class Snapshots {
+        @Test
+        fun `hold the whole routing`() {
+            publish(3)
+            evacuate("b", true)
+            val restored = ControlState().apply { restore(state.snapshot()) }
+            assertEquals(state.routing, restored.routing)
+        }
+    }
+}
