--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -42,7 +42,7 @@
     private val startedAt = node.time.markNow()
     private val call = node.wire.readCall(head.headers())
     private val tried = LinkedHashSet<TargetName>()
-    private val revision = node.revision
+    private var revision = node.revision
     private var route: ForwardingRoute? = null
     private var team: TeamAccess? = null
     private var service: ServiceName? = null
@@ -69,13 +69,14 @@
         val index = node.routes
         if (index == null || !node.isServing) return waitForRouting()
         deadline?.cancel(false)
+        revision = node.revision
         val host = head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val found = index.route(host, head.uri().substringBefore('?'))
-            ?: return fail(HttpResponseStatus.NOT_FOUND, "no-route", "not-run")
+            ?: return fail(HttpResponseStatus.NOT_FOUND, FinalReason.NO_ROUTE, NOT_RUN)
         route = found
         if (index.needsKeys && !found.isPublic) {
             team = call.accessKey?.let(index::team)
-                ?: return fail(HttpResponseStatus.UNAUTHORIZED, "unknown-key", "not-run")
+                ?: return fail(HttpResponseStatus.UNAUTHORIZED, FinalReason.UNKNOWN_KEY, NOT_RUN)
         }
         val timeout = found.timeoutMilliseconds.milliseconds
         limit = minOf(timeout, call.patience ?: timeout)
@@ -94,12 +95,12 @@
     private fun waitForRouting() {
         val patience = call.patience ?: LONGEST_HOLD
         val hold = minOf(patience * HELD_SHARE, LONGEST_HOLD) - startedAt.elapsedNow()
-        if (!hold.isPositive()) return refuse("no-routing", UNREADY_PAUSE)
+        if (!hold.isPositive()) return refuse(FinalReason.NO_ROUTING, UNREADY_PAUSE)
         node.hold(this)
         deadline = node.loop.schedule(
             {
                 node.release(this)
-                refuse("no-routing", UNREADY_PAUSE)
+                refuse(FinalReason.NO_ROUTING, UNREADY_PAUSE)
             },
             hold.inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
@@ -128,7 +129,7 @@
         when (val choice = node.book.choose(request)) {
             is PlacementChoice.Chosen -> attempt(choice.target, choice.cachedAt)
             is PlacementChoice.Refused ->
-                giveUp(choice.reason.name.lowercase().replace('_', '-'), choice.retryAfter)
+                giveUp(FinalReason.of(choice.reason), choice.retryAfter)
         }
     }
 
@@ -151,18 +152,23 @@
     fun callerLeft() {
         if (isDone) return
         current?.cancel(AttemptResult.UNTOLD)
-        end("caller-left", "caller-left")
+        end("caller-left", FinalReason.CALLER_LEFT)
     }
 
     private fun timeOut() {
         if (isDone) return
         current?.cancel(if (isHeadSent) AttemptResult.UNTOLD else AttemptResult.SILENT)
-        if (isHeadSent) return abort("timeout")
-        fail(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout", "unknown")
+        if (isHeadSent) return abort(FinalReason.TIMEOUT)
+        fail(HttpResponseStatus.GATEWAY_TIMEOUT, FinalReason.TIMEOUT, UNKNOWN)
     }
 
     /** Tries another target if that is allowed, else gives the final answer. */
-    private fun attemptEnded(ended: Attempt, reason: String, isNotRun: Boolean) {
+    private fun attemptEnded(
+        ended: Attempt,
+        reason: FinalReason,
+        cause: String,
+        isNotRun: Boolean,
+    ) {
         current = null
         if (!isNotRun) {
             mayHaveRun = true
@@ -177,7 +183,7 @@
         }
         val goesOn = isAllowed && (ended.wasNeverSent || takeRepeat())
         val next = if (goesOn) "another-target" else "final-answer"
-        node.log.attemptFailed(call.requestIdentifier, ended.target.name.value, reason, next)
+        node.log.attemptFailed(call.requestIdentifier, ended.target.name.value, cause, next)
         if (goesOn) {
             events?.dropPartial()
             place()
@@ -189,17 +195,17 @@
     private fun takeRepeat(): Boolean =
         service?.let { node.repeats.take(it, node.book.entries) } == true
 
-    private fun giveUp(reason: String, retryAfter: Duration) {
+    private fun giveUp(reason: FinalReason, retryAfter: Duration) {
         when {
             isHeadSent -> abort(reason)
-            mayHaveRun -> fail(HttpResponseStatus.BAD_GATEWAY, reason, "unknown")
+            mayHaveRun -> fail(HttpResponseStatus.BAD_GATEWAY, reason, UNKNOWN)
             else -> refuse(reason, retryAfter)
         }
     }
 
     /** The request has not run and never will; the caller may come back after [retryAfter]. */
-    private fun refuse(reason: String, retryAfter: Duration) {
-        val response = ownAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, "not-run")
+    private fun refuse(reason: FinalReason, retryAfter: Duration) {
+        val response = ownAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, NOT_RUN)
         val seconds = "%.3f".format(
             java.util.Locale.ROOT,
             retryAfter.toDouble(DurationUnit.SECONDS),
@@ -208,14 +214,14 @@
         finishWith(response, "refused", reason)
     }
 
-    private fun fail(failure: HttpResponseStatus, reason: String, outcome: String) =
+    private fun fail(failure: HttpResponseStatus, reason: FinalReason, outcome: String) =
         finishWith(ownAnswer(failure, reason, outcome), "failed", reason)
 
-    private fun ownAnswer(failure: HttpResponseStatus, reason: String, outcome: String) =
+    private fun ownAnswer(failure: HttpResponseStatus, reason: FinalReason, outcome: String) =
         DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             failure,
-            Unpooled.copiedBuffer("{\"error\":{\"type\":\"$reason\"}}", UTF_8),
+            Unpooled.copiedBuffer("{\"error\":{\"type\":\"${reason.text}\"}}", UTF_8),
         ).also { response ->
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
             response.headers().set(
@@ -225,18 +231,22 @@
             response.headers().set(OUTCOME_HEADER, outcome)
         }
 
-    private fun finishWith(response: DefaultFullHttpResponse, outcome: String, reason: String) {
+    private fun finishWith(
+        response: DefaultFullHttpResponse,
+        outcome: String,
+        reason: FinalReason,
+    ) {
         status = response.status().code()
         end(outcome, reason)
         caller.answer(response)
     }
 
-    private fun abort(reason: String) {
+    private fun abort(reason: FinalReason) {
         end("broken-off", reason)
         caller.abort()
     }
 
-    private fun end(outcome: String, reason: String) {
+    private fun end(outcome: String, reason: FinalReason) {
         isDone = true
         node.release(this)
         deadline?.cancel(false)
@@ -249,7 +259,7 @@
                 attempts,
                 status,
                 outcome,
-                reason,
+                reason.text,
                 startedAt.elapsedNow(),
                 revision,
             ),
@@ -280,7 +290,12 @@
                 opened?.cancel()
             } else if (opened == null) {
                 over(AttemptResult.UNREACHABLE)
-                attemptEnded(this, "unreachable", isNotRun = true)
+                attemptEnded(
+                    this,
+                    FinalReason.TARGET_UNREACHABLE,
+                    "no connection",
+                    isNotRun = true,
+                )
             } else {
                 send(opened)
             }
@@ -406,7 +421,12 @@
             if (isOver) return
             if (isPassedOver) {
                 over(if (isStatedNotRun) AttemptResult.UNTOLD else AttemptResult.FAILED)
-                return attemptEnded(this, "target answered $answerStatus", isStatedNotRun)
+                val reason = if (isStatedNotRun) {
+                    FinalReason.TARGET_REFUSED
+                } else {
+                    FinalReason.TARGET_FAILED
+                }
+                return attemptEnded(this, reason, "answered $answerStatus", isStatedNotRun)
             }
             if (events?.hasPartial == true) return onBroken("unfinished event")
             over(
@@ -422,19 +442,21 @@
             heldHead?.let(::passHead)
             heldBody?.let(caller::writeContent)
             heldBody = null
-            end("answered", "complete")
+            end("answered", FinalReason.COMPLETE)
             caller.finish()
         }
 
         override fun onBroken(cause: String) {
             if (isOver) return
             over(AttemptResult.BROKEN)
-            attemptEnded(this, cause, isStatedNotRun)
+            attemptEnded(this, FinalReason.TARGET_LOST, cause, isStatedNotRun)
         }
     }
 
     private companion object {
         const val OUTCOME_HEADER = "X-Hibiscus-Outcome"
+        const val NOT_RUN = "not-run"
+        const val UNKNOWN = "unknown"
         val SUCCESS = 200..299
         const val SERVER_FAILURE = 500
 
