--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.consensus
 
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 import org.hibiscusproxy.model.ProcessName
@@ -33,6 +34,33 @@
         @Test
         fun `five replicas keep what they acknowledged`() =
             runSeeds(size = 5, MemberKeeper(3, SILENCE_LIMIT))
+
+        /** Its silence counted from the leader's start, so that it was removed and added in turn. */
+        @Test
+        fun `a wiped replica is added once, however long the leader has led`() {
+            val simulation = Simulation(1, 3, keeper = MemberKeeper(2, SILENCE_LIMIT))
+            simulation.start()
+            simulation.run(milliseconds = 10_000)
+            val leader = checkNotNull(simulation.leader)
+            val wiped = (1..3).map(simulation::replica).first { it != leader }
+            wiped.wipe()
+            simulation.restart(wiped)
+            val answers = Link(wiped.name, leader.name)
+            val seen = (1..150).map { step ->
+                simulation.run(milliseconds = 20)
+                val isAdded = wiped.name in checkNotNull(leader.log).membership.members
+                // Its first answers as a member are half a second late.
+                if (isAdded && step < LATE_STEPS) simulation.network.blocked += answers
+                if (step == LATE_STEPS) simulation.network.blocked -= answers
+                simulation.operate()
+                checkNotNull(leader.log).membership.members[wiped.name]
+            }
+            val additions = seen.zipWithNext().count { (before, after) ->
+                before?.identity != wiped.identity && after?.identity == wiped.identity
+            }
+            assertEquals(1, additions, "${seen.distinct()}")
+            assertTrue(checkNotNull(seen.last()).isVoter)
+        }
     }
 
     private fun runSeeds(size: Int, keeper: MemberKeeper? = null) {
@@ -53,6 +81,7 @@
 
     private companion object {
         val SILENCE_LIMIT = 2.seconds
+        const val LATE_STEPS = 25
     }
 
     private fun plan(seed: Long) = FaultPlan(
