Split attempts, own answers and service times out of the request and the book of targets

The rendezvous hash is now the one that the chat placement uses. A route with a timeout under a second does not suspend its target any more when that runs out.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -34,32 +34,44 @@
  * another only while no earlier one may have run it, or while its route lets it run again.
  */
 internal class Exchange(
-    private val node: ForwardingNode,
-    private val caller: CallerConnection,
-    private val head: HttpRequest,
-    private val body: ByteBuf,
+    val node: ForwardingNode,
+    val caller: CallerConnection,
+    val head: HttpRequest,
+    val body: ByteBuf,
 ) {
     private val startedAt = node.time.markNow()
-    private val call = node.wire.readCall(head.headers())
+    val call = node.wire.readCall(head.headers())
     private val tried = LinkedHashSet<TargetName>()
     private var revision = node.revision
-    private var route: ForwardingRoute? = null
-    private var team: TeamAccess? = null
+
+    /** Route and team of the request, once they are known. */
+    var route: ForwardingRoute? = null
+        private set
+    var team: TeamAccess? = null
+        private set
     private var service: ServiceName? = null
     private var limit: Duration = Duration.INFINITE
     private var deadline: ScheduledFuture<*>? = null
-    private var current: Attempt? = null
+    private var current: TargetAttempt? = null
     private var lastTarget: TargetName? = null
     private var attempts = 0
-    private var runs = 0
-    private var isHeadSent = false
     private var status = 0
     private var isDone = false
-    private var events: EventSplitter? = null
+
+    /** Attempts that ran the request, or may have. */
+    private var runs = 0
+
+    /** Whether the caller has got the head of an answer. */
+    var isHeadSent = false
+        private set
+
+    /** Cuts a stream into events where another target may go on with it. */
+    var events: EventSplitter? = null
+        private set
     private var mayHaveRun = false
 
     private val isRepeatable: Boolean get() = route?.isRepeatable == true
-    private val remaining: Duration get() = limit - startedAt.elapsedNow()
+    val remaining: Duration get() = limit - startedAt.elapsedNow()
 
     /**
      * Finds the route and sends the request to a target, or answers at once. While the process
@@ -72,11 +84,15 @@
         revision = node.revision
         val host = head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val found = index.route(host, head.uri().substringBefore('?'))
-            ?: return fail(HttpResponseStatus.NOT_FOUND, FinalReason.NO_ROUTE, NOT_RUN)
+            ?: return fail(HttpResponseStatus.NOT_FOUND, FinalReason.NO_ROUTE, OwnAnswer.NOT_RUN)
         route = found
         if (index.needsKeys && !found.isPublic) {
             team = call.accessKey?.let(index::team)
-                ?: return fail(HttpResponseStatus.UNAUTHORIZED, FinalReason.UNKNOWN_KEY, NOT_RUN)
+                ?: return fail(
+                    HttpResponseStatus.UNAUTHORIZED,
+                    FinalReason.UNKNOWN_KEY,
+                    OwnAnswer.NOT_RUN,
+                )
         }
         val timeout = found.timeoutMilliseconds.milliseconds
         limit = minOf(timeout, call.patience ?: timeout)
@@ -137,7 +153,7 @@
         tried += target.name
         lastTarget = target.name
         attempts += 1
-        val next = Attempt(target, cachedAt, node.book.begin(target.name, call.prompt))
+        val next = TargetAttempt(this, target, cachedAt, node.book.begin(target.name, call.prompt))
         current = next
         val kept = node.pool.takeIdle(target.name)
         if (kept != null) next.send(kept) else node.pool.connect(target, next::connected)
@@ -157,18 +173,14 @@
 
     private fun timeOut() {
         if (isDone) return
-        current?.cancel(if (isHeadSent) AttemptResult.UNTOLD else AttemptResult.SILENT)
+        val isSilent = !isHeadSent && startedAt.elapsedNow() > SILENCE_LIMIT
+        current?.cancel(if (isSilent) AttemptResult.SILENT else AttemptResult.UNTOLD)
         if (isHeadSent) return abort(FinalReason.TIMEOUT)
-        fail(HttpResponseStatus.GATEWAY_TIMEOUT, FinalReason.TIMEOUT, UNKNOWN)
+        fail(HttpResponseStatus.GATEWAY_TIMEOUT, FinalReason.TIMEOUT, OwnAnswer.UNKNOWN)
     }
 
     /** Tries another target if that is allowed, else gives the final answer. */
-    private fun attemptEnded(
-        ended: Attempt,
-        reason: FinalReason,
-        cause: String,
-        isNotRun: Boolean,
-    ) {
+    fun attemptEnded(ended: TargetAttempt, reason: FinalReason, cause: String, isNotRun: Boolean) {
         current = null
         if (!isNotRun) {
             mayHaveRun = true
@@ -192,44 +204,44 @@
         }
     }
 
+    /** Whether a failure of the present attempt may be replaced by another target's answer. */
+    fun mayTryAgain(): Boolean = isRepeatable &&
+        runs + 1 < (route?.maximumTargets ?: 1) &&
+        remaining > SHORTEST_ATTEMPT
+
+    /** Passes the head of the answer on. */
+    fun passHead(response: HttpResponse) {
+        isHeadSent = true
+        status = response.status().code()
+        if (status !in SUCCESS) events = null
+        caller.writeHead(response)
+    }
+
+    /** The present attempt's answer has been passed on whole. */
+    fun answered() {
+        current = null
+        end("answered", FinalReason.COMPLETE)
+        caller.finish()
+    }
+
     private fun takeRepeat(): Boolean =
         service?.let { node.repeats.take(it, node.book.entries) } == true
 
     private fun giveUp(reason: FinalReason, retryAfter: Duration) {
         when {
             isHeadSent -> abort(reason)
-            mayHaveRun -> fail(HttpResponseStatus.BAD_GATEWAY, reason, UNKNOWN)
+            mayHaveRun -> fail(HttpResponseStatus.BAD_GATEWAY, reason, OwnAnswer.UNKNOWN)
             else -> refuse(reason, retryAfter)
         }
     }
 
     /** The request has not run and never will; the caller may come back after [retryAfter]. */
     private fun refuse(reason: FinalReason, retryAfter: Duration) {
-        val response = ownAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, NOT_RUN)
-        val seconds = "%.3f".format(
-            java.util.Locale.ROOT,
-            retryAfter.toDouble(DurationUnit.SECONDS),
-        )
-        response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds)
-        finishWith(response, "refused", reason)
+        finishWith(OwnAnswer.refusal(reason, retryAfter), "refused", reason)
     }
 
     private fun fail(failure: HttpResponseStatus, reason: FinalReason, outcome: String) =
-        finishWith(ownAnswer(failure, reason, outcome), "failed", reason)
-
-    private fun ownAnswer(failure: HttpResponseStatus, reason: FinalReason, outcome: String) =
-        DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            failure,
-            Unpooled.copiedBuffer("{\"error\":{\"type\":\"${reason.text}\"}}", UTF_8),
-        ).also { response ->
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-            response.headers().set(
-                HttpHeaderNames.CONTENT_LENGTH,
-                response.content().readableBytes(),
-            )
-            response.headers().set(OUTCOME_HEADER, outcome)
-        }
+        finishWith(OwnAnswer.failure(failure, reason, outcome), "failed", reason)
 
     private fun finishWith(
         response: DefaultFullHttpResponse,
@@ -266,202 +278,11 @@
         )
     }
 
-    /** One sending to one target. */
-    private inner class Attempt(
-        val target: DiscoveredTarget,
-        private val cachedAt: DiscoveredTarget?,
-        private val placed: PlacedAttempt,
-    ) : AnswerListener {
-        var connection: TargetConnection? = null
-            private set
-        private var isOver = false
-        private var answerStatus = 0
-        private var isPassedOver = false
-        private var isStatedNotRun = false
-        private var heldHead: HttpResponse? = null
-        private var heldBody: ByteBuf? = null
-
-        /** Whether no byte of the request left for the target. */
-        var wasNeverSent = true
-            private set
-
-        fun connected(opened: TargetConnection?) {
-            if (isOver) {
-                opened?.cancel()
-            } else if (opened == null) {
-                over(AttemptResult.UNREACHABLE)
-                attemptEnded(
-                    this,
-                    FinalReason.TARGET_UNREACHABLE,
-                    "no connection",
-                    isNotRun = true,
-                )
-            } else {
-                send(opened)
-            }
-        }
-
-        fun send(opened: TargetConnection) {
-            connection = opened
-            wasNeverSent = false
-            opened.send(targetRequest(), call.requestIdentifier, this)
-        }
-
-        fun cancel(result: AttemptResult) {
-            over(result)
-            connection?.cancel()
-        }
-
-        private fun over(result: AttemptResult) {
-            isOver = true
-            if (result != AttemptResult.ANSWERED) dropHeld()
-            node.book.end(placed, result)
-        }
-
-        private fun dropHeld() {
-            heldBody?.release()
-            heldBody = null
-        }
-
-        private fun targetRequest(): DefaultFullHttpRequest {
-            val headers = DefaultHttpHeaders()
-            headers.set(head.headers())
-            val isEngine = call.prompt != null
-            node.wire.writeTargetCall(
-                headers,
-                TargetCall(
-                    target.name,
-                    team?.name,
-                    remaining.inWholeMilliseconds.coerceAtLeast(1),
-                    urgency().takeIf { isEngine },
-                    events?.lastIdentifier ?: call.resumesAfter,
-                    cachedAt?.address,
-                ),
-            )
-            val hasBody = body.isReadable ||
-                head.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
-                head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-            if (hasBody) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-            return DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                head.method(),
-                head.uri(),
-                body.retainedDuplicate(),
-                headers,
-                DefaultHttpHeaders(),
-            )
-        }
-
-        private fun urgency(): Int {
-            val priority = team?.priority ?: route?.priority ?: 0
-            return (URGENCY_OF_FIRST + priority).coerceIn(0, LEAST_URGENT)
-        }
-
-        override fun onHead(response: HttpResponse, facts: AnswerFacts) {
-            answerStatus = response.status().code()
-            facts.coldFor?.let { node.book.reportedCold(target.name, it) }
-            if (facts.statement != RunStatement.MAY_HAVE_RUN) {
-                isPassedOver = true
-                isStatedNotRun = true
-                return
-            }
-            val isSuccess = answerStatus in SUCCESS
-            if (isSuccess && (!facts.isSealed || facts.isEncoded)) return invalid("unsigned answer")
-            node.book.answered(placed)
-            if (isHeadSent) {
-                if (!isSuccess) invalid("resume answered $answerStatus")
-                return
-            }
-            val isStream = isSuccess && events != null
-            if (answerStatus >= SERVER_FAILURE && mayTryAgain()) {
-                isPassedOver = true
-                return
-            }
-            if (isSuccess && mayHold(response)) {
-                heldHead = response
-                heldBody = Unpooled.buffer()
-                return
-            }
-            if (!isStream) events = null
-            passHead(response)
-        }
-
-        private fun passHead(response: HttpResponse) {
-            isHeadSent = true
-            status = response.status().code()
-            caller.writeHead(response)
-        }
-
-        /** A short answer is passed on once it is whole, so that a broken one can be replaced. */
-        private fun mayHold(response: HttpResponse): Boolean = route?.kind == RequestKind.SAFE &&
-            HttpUtil.getContentLength(response, Long.MAX_VALUE) <= HELD_BYTES
-
-        private fun mayTryAgain() = isRepeatable &&
-            runs + 1 < (route?.maximumTargets ?: 1) &&
-            remaining > SHORTEST_ATTEMPT
-
-        private fun invalid(reason: String) {
-            connection?.cancel()
-            onBroken(reason)
-        }
-
-        override fun onContent(content: HttpContent) {
-            if (isPassedOver || isOver) return
-            heldBody?.let {
-                it.writeBytes(content.content())
-                return
-            }
-            val splitter = events
-            val bytes = splitter?.take(content.content()) ?: content.content().retain()
-            if (bytes.isReadable) caller.writeContent(bytes) else bytes.release()
-            if (!caller.isWritable) connection?.setReading(false)
-        }
-
-        override fun onEnd() {
-            if (isOver) return
-            if (isPassedOver) {
-                over(if (isStatedNotRun) AttemptResult.UNTOLD else AttemptResult.FAILED)
-                val reason = if (isStatedNotRun) {
-                    FinalReason.TARGET_REFUSED
-                } else {
-                    FinalReason.TARGET_FAILED
-                }
-                return attemptEnded(this, reason, "answered $answerStatus", isStatedNotRun)
-            }
-            if (events?.hasPartial == true) return onBroken("unfinished event")
-            over(
-                if (answerStatus >=
-                    SERVER_FAILURE
-                ) {
-                    AttemptResult.FAILED
-                } else {
-                    AttemptResult.ANSWERED
-                },
-            )
-            current = null
-            heldHead?.let(::passHead)
-            heldBody?.let(caller::writeContent)
-            heldBody = null
-            end("answered", FinalReason.COMPLETE)
-            caller.finish()
-        }
-
-        override fun onBroken(cause: String) {
-            if (isOver) return
-            over(AttemptResult.BROKEN)
-            attemptEnded(this, FinalReason.TARGET_LOST, cause, isStatedNotRun)
-        }
-    }
-
     private companion object {
-        const val OUTCOME_HEADER = "X-Hibiscus-Outcome"
-        const val NOT_RUN = "not-run"
-        const val UNKNOWN = "unknown"
         val SUCCESS = 200..299
-        const val SERVER_FAILURE = 500
 
-        /** Answers of plain services are smaller; longer ones are passed on as they come. */
-        const val HELD_BYTES = 65_536L
+        /** A route with a shorter timeout tells nothing of a target that has not answered yet. */
+        val SILENCE_LIMIT = 1_000.milliseconds
 
         /** Targets tried for one request, most of which were not reached or stated not run. */
         const val MAXIMUM_ATTEMPTS = 4
@@ -483,9 +304,5 @@
 
         /** A target that is full has a free place after about as long. */
         val BUSY_PAUSE = 150.milliseconds
-
-        /** Leaves two more urgent ranks for later use. */
-        const val URGENCY_OF_FIRST = 2
-        const val LEAST_URGENT = 9
     }
 }
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/OwnAnswer.kt
@@ -0,0 +1,43 @@
+package org.hibiscusproxy.daemon.forwarding
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import java.nio.charset.StandardCharsets.UTF_8
+import java.util.Locale
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Answers of the entry's own, with a typed body and a statement whether the request ran. */
+internal object OwnAnswer {
+    /** The request did not run and never will. */
+    const val NOT_RUN = "not-run"
+
+    /** The request may have run. */
+    const val UNKNOWN = "unknown"
+    private const val OUTCOME_HEADER = "X-Hibiscus-Outcome"
+
+    /** Refuses a request that has not run; the caller may come back after [retryAfter]. */
+    fun refusal(reason: FinalReason, retryAfter: Duration): DefaultFullHttpResponse {
+        val response = failure(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, NOT_RUN)
+        val seconds = "%.3f".format(Locale.ROOT, retryAfter.toDouble(DurationUnit.SECONDS))
+        response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds)
+        return response
+    }
+
+    /** A failure with [status]; [outcome] is [NOT_RUN] or [UNKNOWN]. */
+    fun failure(
+        status: HttpResponseStatus,
+        reason: FinalReason,
+        outcome: String,
+    ): DefaultFullHttpResponse {
+        val body = Unpooled.copiedBuffer("{\"error\":{\"type\":\"${reason.text}\"}}", UTF_8)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        response.headers().set(OUTCOME_HEADER, outcome)
+        return response
+    }
+}
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
@@ -9,6 +9,8 @@
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.placement.Hashing
+import org.hibiscusproxy.placement.Rendezvous
 import org.hibiscusproxy.protocol.TargetUse
 
 /**
@@ -259,16 +261,9 @@
     /** The engines in the order in which all entries prefer them for the shared parts. */
     private fun homes(prompt: Prompt, candidates: List<TargetState>): List<TargetState> {
         val shared = prompt.parts.dropLast(1).lastOrNull() ?: prompt.parts.lastOrNull()
-        val key = shared?.identifier ?: return emptyList()
+        val hash = Hashing.of(shared?.identifier ?: return emptyList())
         return candidates
-            .sortedByDescending { mix("$key@${it.listed.name}".hashCode()) }
-    }
-
-    private fun mix(hash: Int): Int {
-        var mixed = hash
-        mixed = (mixed xor (mixed ushr 16)) * -0x7a143595
-        mixed = (mixed xor (mixed ushr 13)) * -0x3d4d51cb
-        return mixed xor (mixed ushr 16)
+            .sortedByDescending { Rendezvous.score(hash, it.listed.name, weight = 1.0) }
     }
 
     private fun serviceTime(service: ServiceName) = durations.getOrPut(service) { ServiceTime() }
@@ -278,26 +273,6 @@
         return PlacementChoice.Refused(reason, pause * spread)
     }
 
-    /** How long a service takes, learnt from answers. */
-    private class ServiceTime {
-        var whole: Duration = 50.milliseconds
-            private set
-        private var tokensPerMillisecond = 20.0
-
-        fun whole(taken: Duration) {
-            whole += (taken - whole) * SMOOTHING
-        }
-
-        fun firstPart(taken: Duration, tokens: Long) {
-            if (tokens < MEASURED_TOKENS) return
-            val speed = tokens / taken.toDouble(DurationUnit.MILLISECONDS).coerceAtLeast(1.0)
-            val weight = if (speed > tokensPerMillisecond) RISE else SMOOTHING
-            tokensPerMillisecond += (speed - tokensPerMillisecond) * weight
-        }
-
-        fun readingTime(tokens: Long): Duration = (tokens / tokensPerMillisecond).milliseconds
-    }
-
     private companion object {
         /** Assumed until a controller has told; high, so that cold targets are spared. */
         const val ASSUMED_ENTRIES = 16
@@ -323,18 +298,9 @@
         /** The same for plain services, in multiples of their slots. */
         const val FAILURE_WEIGHT = 4.0
 
-        /** Weight of the newest of about ten measurements. */
-        const val SMOOTHING = 0.1
-
-        /** Weight of a faster reading, which shows what the engine can do when it is not busy. */
-        const val RISE = 0.5
-
         /** Copying fewer tokens than this takes about as long as reading them. */
         const val COPIED_TOKENS = 256L
 
-        /** Shorter prompts measure the engine's step, not its reading. */
-        const val MEASURED_TOKENS = 1_000L
-
         /** A target that restarts or a list that lags is back after about as long. */
         val NO_TARGET_PAUSE = 500.milliseconds
         val SHORTEST_PAUSE = 50.milliseconds
