--- a/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/DeploymentFolder.kt
+++ b/hibiscusproxy-standins/src/main/kotlin/org/hibiscusproxy/standins/deployment/DeploymentFolder.kt
@@ -137,7 +137,7 @@
             settings.name.value,
             PlannedProcess.Program.PRODUCT,
             listOf("run", file.toString()),
-            settings.administration,
+            checkNotNull(settings.administration) { "${settings.name} has no administration" },
         )
     }
 
