--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -40,6 +40,8 @@
     val body: ByteBuf,
 ) {
     private val startedAt = node.time.markNow()
+
+    /** What the caller says of its request. */
     val call = node.wire.readCall(head.headers())
     private val tried = LinkedHashSet<TargetName>()
     private var revision = node.revision
@@ -71,6 +73,8 @@
     private var mayHaveRun = false
 
     private val isRepeatable: Boolean get() = route?.isRepeatable == true
+
+    /** Time until the caller or the route gives the request up. */
     val remaining: Duration get() = limit - startedAt.elapsedNow()
 
     /**
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -185,15 +185,8 @@
             return exchange.attemptEnded(this, reason, "answered $answerStatus", isStatedNotRun)
         }
         if (exchange.events?.hasPartial == true) return onBroken("unfinished event")
-        over(
-            if (answerStatus >=
-                SERVER_FAILURE
-            ) {
-                AttemptResult.FAILED
-            } else {
-                AttemptResult.ANSWERED
-            },
-        )
+        val isFailure = answerStatus >= SERVER_FAILURE
+        over(if (isFailure) AttemptResult.FAILED else AttemptResult.ANSWERED)
         heldHead?.let(exchange::passHead)
         heldBody?.let(exchange.caller::writeContent)
         heldBody = null
