Split the sidecar's attempt endings and target configuration out of Sidecar

Ruled out: splitting the drain as well, since it needs nearly all of the role's fields. Change: AttemptEndings and TargetConfiguration; no behaviour differs.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/Sidecar.kt
@@ -78,6 +78,7 @@
         context.key,
         context.registry,
     )
+    private val configuration = TargetConfiguration(target)
     private val pointers = PlacementPointers(target)
     private val cached = CacheIndex()
     private val isDraining = AtomicBoolean()
@@ -89,7 +90,7 @@
         "sidecar",
         transport,
         fleet.controllers,
-        connected = { it.send(ConfigurationRequest(stateVersion)) },
+        connected = { it.send(ConfigurationRequest(configuration.version)) },
         received = ::received,
     )
     private val lease =
@@ -98,26 +99,13 @@
         context.incarnation,
         OrderCall(settings.targetUrl, ORDER_TIME, lease::held, isDraining::get),
     ) { link.tell(it) }
-    private val crashes = CrashCollector(scope, ::reportCrash)
+    private val endings =
+        AttemptEndings(target, scope, table, calls, cached, link, context.events)
     private val duplicates = Counter.builder("hibiscus.sidecar.duplicates")
         .description("Dispatches dropped because their attempt number was used before")
         .register(context.registry)
     private var listener: PeerListener? = null
 
-    @Volatile
-    private var stateVersion = 0L
-
-    /** Only engines report their load; on a plain service the path may mean anything. */
-    @Volatile
-    private var hasLoadReport = false
-
-    /** Whether the target did not answer when it was asked last. */
-    @Volatile
-    private var isTargetDown = false
-
-    @Volatile
-    private var capacity = 0
-
     override val isReady: Boolean get() = lease.isHeld && !isDraining.get()
 
     /** Where entries reach the sidecar; known after [start]. */
@@ -217,10 +205,7 @@
     }
 
     private suspend fun configure(state: FleetState) {
-        if (state.version <= stateVersion) return
-        stateVersion = state.version
-        hasLoadReport = state.objects.hasLoadReport()
-        capacity = state.objects.targets.find { it.name == target }?.capacity ?: 0
+        if (!configuration.take(state)) return
         table.update {
             configure(state)
             advance()
@@ -229,14 +214,7 @@
     }
 
     private suspend fun confirm(version: Long) {
-        if (version <= stateVersion) return
-        stateVersion = version
-        lease.configured(version)
-    }
-
-    private fun FleetObjects.hasLoadReport(): Boolean {
-        val service = targets.find { it.name == target }?.service
-        return services.any { it.name == service && it.kind is ServiceKind.Chat }
+        if (configuration.confirm(version)) lease.configured(version)
     }
 
     private suspend fun tick() {
@@ -256,12 +234,12 @@
     private fun isHeldBackByBound(): Boolean {
         val report = table.report()
         val isHeldBack = wasOverloaded.getAndSet(false) || report.queued > 0
-        return isHeldBack && report.limit < capacity
+        return isHeldBack && report.limit < configuration.capacity
     }
 
     private suspend fun pollLoad() {
         repeatGuarded("sidecar") {
-            if (hasLoadReport) {
+            if (configuration.hasLoadReport) {
                 loads.poll()?.let { report ->
                     table.update {
                         targetReported(report)
@@ -273,23 +251,18 @@
         }
     }
 
-    private suspend fun reportCrash(fingerprints: List<Fingerprint>) {
-        LOG.warn("sidecar: target {} lost with {} requests", target, fingerprints.size)
-        cached.restarted()
-        context.events.record(FleetEvent.TargetCrashed(target, fingerprints.size))
-        link.tell(CrashReport(target, fingerprints))
-    }
-
     private fun firstByte(attempt: SidecarAttempt) = table.update {
         firstByte(attempt.attempt)
         emptyList()
     }
 
+    private fun presentLoad(): LoadReport = endings.presentLoad()
+
     private inner class TableActions : AttemptTable.Actions {
         override fun run(attempt: SidecarAttempt) {
             context.events.record(FleetEvent.AttemptStarted(attempt.attempt, target))
             if (attempt.dispatch.prefixKey != 0L) cached.ran(PrefixKey(attempt.dispatch.prefixKey))
-            calls.start(attempt) { end -> ended(attempt, end) }
+            calls.start(attempt) { end -> endings.ended(attempt, end) }
         }
 
         override fun refuse(attempt: SidecarAttempt, reason: NotRunReason, retryAfter: Duration) {
@@ -298,7 +271,10 @@
             val milliseconds = retryAfter.inWholeMilliseconds
             val servedBy = pointers.whereIs(PrefixKey(attempt.dispatch.prefixKey))
                 .takeIf { reason == NotRunReason.CACHED_ELSEWHERE }
-            answer(attempt, NotRun(attempt.attempt, reason, presentLoad(), milliseconds, servedBy))
+            endings.answer(
+                attempt,
+                NotRun(attempt.attempt, reason, presentLoad(), milliseconds, servedBy),
+            )
         }
 
         override fun droppedDuplicate(attempt: Attempt) {
@@ -307,90 +283,12 @@
         }
     }
 
-    private fun ended(attempt: SidecarAttempt, end: CallEnd) {
-        table.finish(attempt, end.result(attempt))
-        when {
-            end is CallEnd.Complete -> isTargetDown = false
-
-            end is CallEnd.NotRun && end.reason == NotRunReason.TARGET_UNREACHABLE ->
-                isTargetDown = true
-        }
-        when (end) {
-            is CallEnd.Complete ->
-                answer(attempt, ResponseEnd(attempt.attempt, end.chunks, presentLoad()))
-
-            is CallEnd.NotRun -> {
-                context.events.record(
-                    FleetEvent.AttemptNotRun(attempt.attempt, target, end.reason),
-                )
-                answer(attempt, NotRun(attempt.attempt, end.reason, presentLoad()))
-            }
-
-            is CallEnd.Broken -> broken(attempt, end)
-
-            CallEnd.EntryLost -> stopAtTarget(attempt)
-        }
-    }
-
-    /** A target that cannot be reached takes nothing, whatever its limit is. */
-    private fun presentLoad(): LoadReport {
-        val report = table.report()
-        return if (isTargetDown) report.copy(limit = 0) else report
-    }
-
-    private fun CallEnd.result(attempt: SidecarAttempt): AttemptResult = when (this) {
-        is CallEnd.Complete -> AttemptResult.COMPLETED
-
-        is CallEnd.NotRun -> when (reason) {
-            NotRunReason.TARGET_UNREACHABLE -> AttemptResult.UNREACHABLE
-            else -> AttemptResult.CANCELLED
-        }
-
-        is CallEnd.Broken -> when (brokenReason(attempt)) {
-            BrokenReason.TARGET_LOST -> AttemptResult.TARGET_LOST
-            else -> AttemptResult.CANCELLED
-        }
-
-        CallEnd.EntryLost -> AttemptResult.CANCELLED
-    }
-
-    private fun broken(attempt: SidecarAttempt, end: CallEnd.Broken) {
-        val reason = brokenReason(attempt)
-        LOG.info("sidecar: attempt {} broken: {} {}", attempt.attempt, reason, end.cause.message)
-        context.events.record(FleetEvent.RequestBroken(attempt.attempt, reason))
-        if (reason == BrokenReason.TARGET_LOST) {
-            crashes.add(attempt.dispatch.fingerprint)
-        } else {
-            stopAtTarget(attempt)
-        }
-        answer(attempt, ResponseBroken(attempt.attempt, reason, presentLoad()))
-    }
-
-    private fun brokenReason(attempt: SidecarAttempt): BrokenReason = attempt.stopReason
-        ?: BrokenReason.DEADLINE.takeIf { attempt.remaining <= Duration.ZERO }
-        ?: BrokenReason.TARGET_LOST
-
-    /** Engines are told in words, because they notice a closed connection late. */
-    private fun stopAtTarget(attempt: SidecarAttempt) {
-        if (attempt.dispatch.path != CHAT_PATH) return
-        val request = attempt.dispatch.headers.find { it.name.equals(REQUEST_HEADER, true) }
-        val path = "/v1/cancel/${request?.value ?: return}"
-        calls.inBackground { calls.fetch("POST", path, CANCEL_TIME) }
-    }
-
-    private fun answer(attempt: SidecarAttempt, message: DataMessage) {
-        scope.launch { attempt.connection.send(message) }
-    }
-
     companion object {
-        private const val CHAT_PATH = "/v1/chat/completions"
-        private const val REQUEST_HEADER = "X-Request-Id"
         private val TICK = 100.milliseconds
         private val LOAD_INTERVAL = 1.seconds
         private val DRAIN_CHECK = 20.milliseconds
         private val CUT_OFF_TIME = 1.seconds
         private val LAST_SEND_TIME = 50.milliseconds
-        private val CANCEL_TIME = 1.seconds
         private val ORDER_TIME = 8.seconds
         private val LOG: Logger = LoggerFactory.getLogger(Sidecar::class.java)
 
