Split elections, votes and the leader's view of members out of ReplicatedLog

Ruled out: a separate class for followers, because it would share every field. The timer draws from the same random source in the same order.

--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Campaign.kt
@@ -0,0 +1,46 @@
+package org.hibiscusproxy.consensus
+
+import kotlin.time.ComparableTimeMark
+import org.hibiscusproxy.model.ProcessName
+
+/** This replica's way into office: a preliminary round, and if that is won, the election itself. */
+internal class Campaign(private val state: ReplicaState, private val timer: ElectionTimer) {
+    private var election: Election? = null
+
+    /** Whether votes are being collected. */
+    val isRunning: Boolean get() = election != null
+
+    /** Begins with the preliminary round; returns whether the election is won already. */
+    fun start(now: ComparableTimeMark): Boolean = run(isPreVote = true, now)
+
+    /** Counts a vote; returns whether it won the election. */
+    fun count(sender: ProcessName, reply: VoteReply, now: ComparableTimeMark): Boolean {
+        val current = election ?: return false
+        current.count(sender, reply)
+        return conclude(current, now)
+    }
+
+    /** Gives the campaign up. */
+    fun end() {
+        election = null
+    }
+
+    private fun run(isPreVote: Boolean, now: ComparableTimeMark): Boolean {
+        if (!isPreVote) {
+            state.enterTerm(state.term + 1)
+            state.update(state.hardState.copy(vote = state.identity))
+        }
+        val next = Election(state, if (isPreVote) state.term + 1 else state.term, isPreVote)
+        election = next
+        timer.restart(now)
+        next.start()
+        return conclude(next, now)
+    }
+
+    private fun conclude(current: Election, now: ComparableTimeMark): Boolean {
+        if (!current.isWon) return false
+        if (current.isPreVote) return run(isPreVote = false, now)
+        election = null
+        return true
+    }
+}
--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ElectionTimer.kt
@@ -0,0 +1,54 @@
+package org.hibiscusproxy.consensus
+
+import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
+
+/**
+ * When this replica heard a leader last, and when it stands for election. It counts as having heard
+ * one at its start, since it may have forgotten that it did.
+ */
+internal class ElectionTimer(
+    private val settings: ReplicatedLogSettings,
+    private val random: Random,
+    now: ComparableTimeMark,
+) {
+    private var leaderContact = now
+    private var deadline = now
+
+    init {
+        restart(now)
+    }
+
+    /** Whether it is time to stand for election. */
+    fun isDue(now: ComparableTimeMark): Boolean = now >= deadline
+
+    /** Whether a leader was heard within the shortest election timeout. */
+    fun hearsLeader(now: ComparableTimeMark): Boolean =
+        now - leaderContact < settings.electionTimeout
+
+    /** Whether no leader was heard for so long that the replica may have been removed. */
+    fun isIsolated(now: ComparableTimeMark): Boolean =
+        now - leaderContact > settings.electionTimeout * ISOLATION
+
+    /** A leader spoke at [now]. */
+    fun heardLeader(now: ComparableTimeMark) {
+        leaderContact = now
+        restart(now)
+    }
+
+    /** This replica, as the leader, was accepted by a majority at [contact]. */
+    fun heardMajority(contact: ComparableTimeMark) {
+        leaderContact = maxOf(leaderContact, contact)
+    }
+
+    /** Draws the next deadline, between one and two election timeouts from [now]. */
+    fun restart(now: ComparableTimeMark) {
+        val timeout = settings.electionTimeout
+        deadline = now + timeout + timeout * random.nextDouble()
+    }
+
+    private companion object {
+        /** A member without a leader for this many election timeouts asks whether it is one. */
+        const val ISOLATION = 3
+    }
+}
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/LogMatching.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/LogMatching.kt
@@ -32,3 +32,7 @@
     while (index > commitIndex && log.termAt(index) == conflicting) index--
     return maxOf(index, commitIndex)
 }
+
+/** The answer to [request]; [index] matches the leader's log or is where it tries next. */
+internal fun ReplicaState.answer(request: AppendRequest, isAccepted: Boolean, index: Long) =
+    AppendReply(identity, term, request.round, request.previousIndex, isAccepted, index)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -25,10 +25,9 @@
     private val receiver = SnapshotReceiver()
     private val applier = Applier(state, stateMachine, recovered.snapshot)
     private var leadership: Leadership? = null
-    private var election: Election? = null
-    private var leaderContact = now
-    private var electionDeadline = now
-    private var reported = LeadershipReport(role, term, null)
+    private val timer = ElectionTimer(state.settings, state.random, now)
+    private val campaign = Campaign(state, timer)
+    private var reported = ConsensusOutput.LeadershipChanged(role, term, null)
     private var failure: StorageFailureException? = null
 
     /** What was cut off the end of the stored log on opening, if anything. */
@@ -41,7 +40,7 @@
         get() = when {
             leadership != null -> ConsensusRole.LEADER
             !state.isVoter -> ConsensusRole.NON_VOTER
-            election != null -> ConsensusRole.CANDIDATE
+            campaign.isRunning -> ConsensusRole.CANDIDATE
             else -> ConsensusRole.FOLLOWER
         }
 
@@ -71,26 +70,14 @@
     fun introduceTo(processes: List<ProcessName>) = formation.introduceTo(processes)
 
     /** What [MemberKeeper] needs to know at a leader, or null when this replica does not lead. */
-    fun memberView(now: ComparableTimeMark): MemberView? {
-        val current = leadership ?: return null
-        return object : MemberView {
-            override val membership get() = state.membership
-            override val strangers = formation.recentStrangers(now)
-
-            override fun lastContact(process: ProcessName) = current.lastContact(process)
-
-            override fun isPossible(change: MembershipChange) = refusalOf(change, now) == null
-        }
+    fun memberView(now: ComparableTimeMark): MemberView? = leadership?.let {
+        LeaderMemberView(state, formation.recentStrangers(now), it, isReady, now)
     }
 
     /** Messages that could not be decoded. */
     var undecodableMessages: Long = 0
         private set
 
-    init {
-        restartElectionTimer(now)
-    }
-
     override fun receive(sender: ProcessName, message: Payload, now: ComparableTimeMark) {
         checkUsable()
         val decoded = ConsensusMessage.decode(message)
@@ -122,13 +109,14 @@
 
     override fun tick(now: ComparableTimeMark) {
         checkUsable()
-        formation.tick(now, isIsolated(now))
+        formation.tick(now, leadership == null && timer.isIsolated(now))
         val current = leadership
         if (current != null) {
             current.tick(now)
             if (current.isCutOff(now)) stepDown(now)
-        } else if (state.isVoter && now >= electionDeadline) {
-            startElection(isPreVote = true, now)
+        } else if (state.isVoter && timer.isDue(now)) {
+            leader = null
+            if (campaign.start(now)) lead(now)
         }
     }
 
@@ -156,14 +144,7 @@
     /** Why [change] would be refused now, or null if it would be proposed. */
     fun refusalOf(change: MembershipChange, now: ComparableTimeMark): MembershipRefusal? {
         val current = leadership ?: return MembershipRefusal.NOT_LEADER
-        // Two leaders' first changes could lead to majorities that do not overlap otherwise.
-        if (!isReady) return MembershipRefusal.NOT_READY
-        if (state.log.membershipIndex > state.commitIndex) return MembershipRefusal.CHANGE_PENDING
-        state.membership.refusalOf(change)?.let { return it }
-        val isEarly = change is MembershipChange.Promote && !current.isCaughtUp(change.process, now)
-        if (isEarly) return MembershipRefusal.NOT_CAUGHT_UP
-        val isHeard = current.hearsMajorityOf(state.membership.after(change), now)
-        return if (isHeard) null else MembershipRefusal.MAJORITY_SILENT
+        return state.refusalOf(change, current, isReady, now)
     }
 
     override fun flush(now: ComparableTimeMark): List<ConsensusOutput> {
@@ -188,40 +169,18 @@
 
     private fun onVoteRequest(sender: ProcessName, request: VoteRequest, now: ComparableTimeMark) {
         if (!state.hasCluster || !state.isAddressed(request.cluster, request.receiver)) return
-        val isGranted = !hearsLeader(now) && canVote(request)
+        val isGranted = !hearsLeader(now) && state.canVote(request)
         if (isGranted && !request.isPreVote) {
             if (request.term > term) follow(request.term, leader = null, now)
             state.update(state.hardState.copy(vote = request.candidate))
-            restartElectionTimer(now)
+            timer.restart(now)
         }
-        val replyTerm = if (isGranted) request.term else term
-        val reply = VoteReply(
-            state.identity,
-            replyTerm,
-            request.candidate,
-            isGranted,
-            request.isPreVote,
-        )
-        state.send(sender, reply)
+        state.send(sender, state.answer(request, isGranted))
     }
 
-    private fun canVote(request: VoteRequest): Boolean {
-        val isFree = when {
-            request.term > term -> true
-            request.term < term || request.isPreVote -> false
-            else -> state.hardState.vote in setOf(NO_IDENTITY, request.candidate)
-        }
-        val log = state.log
-        val isUpToDate = request.lastTerm > log.lastTerm ||
-            request.lastTerm == log.lastTerm && request.lastIndex >= log.lastIndex
-        return isFree && isUpToDate
-    }
-
-    private fun isIsolated(now: ComparableTimeMark): Boolean =
-        leadership == null && now - leaderContact > state.settings.electionTimeout * ISOLATION
-
     private fun hearsLeader(now: ComparableTimeMark): Boolean {
-        val contact = if (leadership != null) leadership?.majorityContact else leaderContact
+        val current = leadership ?: return timer.hearsLeader(now)
+        val contact = current.majorityContact
         return contact != null && now - contact < state.settings.electionTimeout
     }
 
@@ -230,33 +189,12 @@
             if (state.membership.contains(sender, reply.identity)) follow(reply.term, null, now)
             return
         }
-        val current = election ?: return
-        current.count(sender, reply)
-        concludeElection(current, now)
+        if (campaign.count(sender, reply, now)) lead(now)
     }
 
-    private fun startElection(isPreVote: Boolean, now: ComparableTimeMark) {
-        leader = null
-        if (!isPreVote) {
-            state.enterTerm(term + 1)
-            state.update(state.hardState.copy(vote = state.identity))
-        }
-        val next = Election(state, if (isPreVote) term + 1 else term, isPreVote)
-        election = next
-        restartElectionTimer(now)
-        next.start()
-        concludeElection(next, now)
-    }
-
-    private fun concludeElection(current: Election, now: ComparableTimeMark) {
-        if (!current.isWon) return
-        if (current.isPreVote) {
-            startElection(isPreVote = false, now)
-        } else {
-            election = null
-            leader = state.name
-            leadership = Leadership(state, now)
-        }
+    private fun lead(now: ComparableTimeMark) {
+        leader = state.name
+        leadership = Leadership(state, now)
     }
 
     private fun onHeartbeat(sender: ProcessName, message: Heartbeat, now: ComparableTimeMark) {
@@ -272,15 +210,7 @@
         if (!state.isAddressed(message.cluster, message.receiver)) return
         val isAccepted = accepts(sender, message.term, now) && state.matches(message)
         val index = if (isAccepted) state.take(message) else state.retryIndex(message)
-        val reply = AppendReply(
-            state.identity,
-            term,
-            message.round,
-            message.previousIndex,
-            isAccepted,
-            index,
-        )
-        state.send(sender, reply)
+        state.send(sender, state.answer(message, isAccepted, index))
     }
 
     private fun onSnapshotChunk(
@@ -303,8 +233,7 @@
         if (term < this.term) return false
         check(term > this.term || leadership == null) { "$sender also leads term $term" }
         follow(term, sender, now)
-        leaderContact = now
-        restartElectionTimer(now)
+        timer.heardLeader(now)
         return true
     }
 
@@ -326,16 +255,16 @@
             this.leader = null
         }
         if (leadership != null) stepDown(now)
-        election = null
+        campaign.end()
         if (leader != null) this.leader = leader
     }
 
     /** Ends the leadership; a lease counted from its last majority contact includes this vote. */
     private fun stepDown(now: ComparableTimeMark) {
-        leadership?.majorityContact?.let { leaderContact = maxOf(leaderContact, it) }
+        leadership?.majorityContact?.let(timer::heardMajority)
         leadership = null
         leader = null
-        restartElectionTimer(now)
+        timer.restart(now)
     }
 
     private fun leaveIfRemoved(now: ComparableTimeMark) {
@@ -349,18 +278,11 @@
         applier.install(snapshot)
     }
 
-    private fun restartElectionTimer(now: ComparableTimeMark) {
-        val timeout = state.settings.electionTimeout
-        electionDeadline = now + timeout + timeout * state.random.nextDouble()
-    }
-
     private fun reportLeadership() {
-        val current = LeadershipReport(role, term, leader)
+        val current = ConsensusOutput.LeadershipChanged(role, term, leader)
         if (current == reported) return
         reported = current
-        state.outbox.add(
-            ConsensusOutput.LeadershipChanged(current.role, current.term, current.leader),
-        )
+        state.outbox.add(current)
     }
 
     private fun accepted(index: Long) = ProposalResult.Accepted(index, term)
@@ -369,16 +291,7 @@
         failure?.let { throw it }
     }
 
-    private data class LeadershipReport(
-        val role: ConsensusRole,
-        val term: Long,
-        val leader: ProcessName?,
-    )
-
     companion object {
-        /** A member without a leader for this many election timeouts asks whether it is one. */
-        private const val ISOLATION = 3
-
         /**
          * Opens a replica on what [storage] holds.
          *
