Split the long test files by what they test

Cause: ExperimentRun (405 lines), DataPathTest (392) and TargetAdmissionTest (353) each held several subjects. No test, check or bound differs.

--- /dev/null
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/placement/ExperimentCall.kt
@@ -0,0 +1,50 @@
+package org.hibiscusproxy.placement
+
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+import org.hibiscusproxy.admission.AdmissionDecision
+import org.hibiscusproxy.admission.AdmissionEvent
+import org.hibiscusproxy.admission.AttemptResult
+import org.hibiscusproxy.admission.TargetAdmission
+import org.hibiscusproxy.admission.TargetReport
+import org.hibiscusproxy.model.DataCenter
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.FleetObjects
+import org.hibiscusproxy.model.FleetState
+import org.hibiscusproxy.model.Link
+import org.hibiscusproxy.model.ModelName
+import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.OperationalState
+import org.hibiscusproxy.model.Priority
+import org.hibiscusproxy.model.Service
+import org.hibiscusproxy.model.ServiceKind
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.Target
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.Attempt
+import org.hibiscusproxy.protocol.Dispatch
+import org.hibiscusproxy.protocol.Fingerprint
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.LeaseGrant
+import org.hibiscusproxy.protocol.LoadReport
+import org.hibiscusproxy.protocol.NotRunReason
+import org.hibiscusproxy.protocol.Payload
+import org.hibiscusproxy.protocol.PoolLoad
+import org.hibiscusproxy.protocol.RequestIdentifier
+import org.hibiscusproxy.retry.AttemptFailure
+import org.hibiscusproxy.retry.RetryBudget
+import org.hibiscusproxy.retry.RetryDecision
+import org.hibiscusproxy.retry.RetryPolicy
+import org.hibiscusproxy.retry.RetryRequest
+
+/** One turn of a chat on its way through the targets. */
+internal class ExperimentCall(val turn: Turn, val entry: ExperimentEntry) {
+    var plan = RoutePlan()
+    var home: TargetName? = null
+    var attempts = 0
+    var failures = 0
+}
