Say drained data centre outside the platform module

Cause: the platform's word for it had come into the replicated state, the messages and the log lines. PlatformBoundaryTest did not look for it. Serial names are unchanged, so that stored logs stay readable.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -135,7 +135,7 @@
 
         private fun update(): ControlMessage {
             val routing = state.routing
-            return RoutingUpdate(routing.revision, routing.configuration, routing.evacuated)
+            return RoutingUpdate(routing.revision, routing.configuration, routing.drained)
         }
 
         private fun change(known: Long): ControlMessage? {
@@ -143,7 +143,7 @@
             val base = history[known] ?: return null
             val next = routing.configuration ?: return null
             val difference = if (base == next) null else RoutingDifference.between(base, next)
-            return RoutingChange(known, routing.revision, difference, routing.evacuated)
+            return RoutingChange(known, routing.revision, difference, routing.drained)
         }
 
         fun othersOf(totals: Map<TargetName, TargetUse>): List<TargetUse> = totals.values
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingControl.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingControl.kt
@@ -16,10 +16,7 @@
     ): CompletableFuture<RoutingReply>
 
     /** Stops or allows new work for the targets of [dataCenter]; completes once it is durable. */
-    fun setEvacuated(
-        dataCenter: DataCenterName,
-        isEvacuated: Boolean,
-    ): CompletableFuture<RoutingReply>
+    fun setDrained(dataCenter: DataCenterName, isDrained: Boolean): CompletableFuture<RoutingReply>
 
     /** Reads the newest routing, confirmed by a majority after the call arrived. */
     fun read(): CompletableFuture<RoutingReply>
@@ -44,7 +41,7 @@
 internal sealed class RoutingCall {
     class Publish(val configuration: RoutingConfiguration, val document: Payload) : RoutingCall()
 
-    class SetEvacuated(val dataCenter: DataCenterName, val isEvacuated: Boolean) : RoutingCall()
+    class SetDrained(val dataCenter: DataCenterName, val isDrained: Boolean) : RoutingCall()
 
     data object Read : RoutingCall()
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
@@ -9,7 +9,7 @@
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.FleetInstant
 import org.hibiscusproxy.control.PublishRouting
-import org.hibiscusproxy.control.SetEvacuated
+import org.hibiscusproxy.control.SetDrained
 import org.slf4j.LoggerFactory
 
 /**
@@ -32,8 +32,8 @@
                 PublishRouting(call.configuration, call.document, at)
             }
 
-            is RoutingCall.SetEvacuated -> propose(reply) { at ->
-                SetEvacuated(call.dataCenter, call.isEvacuated, at)
+            is RoutingCall.SetDrained -> propose(reply) { at ->
+                SetDrained(call.dataCenter, call.isDrained, at)
             }
 
             is RoutingCall.Read -> read(reply)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/WorkerRoutingControl.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/WorkerRoutingControl.kt
@@ -12,10 +12,10 @@
         document: Payload,
     ): CompletableFuture<RoutingReply> = submit(RoutingCall.Publish(configuration, document))
 
-    override fun setEvacuated(
+    override fun setDrained(
         dataCenter: DataCenterName,
-        isEvacuated: Boolean,
-    ): CompletableFuture<RoutingReply> = submit(RoutingCall.SetEvacuated(dataCenter, isEvacuated))
+        isDrained: Boolean,
+    ): CompletableFuture<RoutingReply> = submit(RoutingCall.SetDrained(dataCenter, isDrained))
 
     override fun read(): CompletableFuture<RoutingReply> = submit(RoutingCall.Read)
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -79,13 +79,13 @@
         val configuration = update.configuration ?: return
         revision = update.revision
         if (routes?.configuration != configuration) routes = RouteIndex(configuration)
-        book.takeRouting(configuration.services, update.evacuated)
+        book.takeRouting(configuration.services, update.drained)
         LOG.info(
-            "forwarder: event=routing revision={} version={} routes={} evacuated={}",
+            "forwarder: event=routing revision={} version={} routes={} drained={}",
             revision,
             configuration.version,
             configuration.routes.size,
-            update.evacuated,
+            update.drained,
         )
         startHeld()
     }
@@ -95,7 +95,7 @@
         val base = routes?.configuration ?: return
         if (change.base != revision) return
         val next = change.difference?.applyTo(base) ?: base
-        take(RoutingUpdate(change.revision, next, change.evacuated))
+        take(RoutingUpdate(change.revision, next, change.drained))
     }
 
     /** Takes the platform's list. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
@@ -180,8 +180,8 @@
 /** Stops new work for the targets of [dataCenter], or allows it again. */
 @Serializable
 @SerialName("re")
-data class SetEvacuated(
+data class SetDrained(
     val dataCenter: DataCenterName,
-    val isEvacuated: Boolean,
+    val isDrained: Boolean,
     override val at: FleetInstant,
 ) : ControlCommand()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlState.kt
@@ -29,7 +29,7 @@
     /** What is effective in the fleet. */
     val fleet: FleetState get() = fleetTable.state
 
-    /** Routes, teams' keys and evacuated data centres for entries that forward by host and path. */
+    /** Routes, teams' keys and drained data centres for entries that forward by host and path. */
     val routing: RoutingState get() = routingTable.state
 
     /** Targets that the platform's list took out and neither it nor an operator returned. */
@@ -88,8 +88,8 @@
                 ControlResult.Done
             }
 
-            is SetEvacuated -> {
-                routingTable.setEvacuated(command)
+            is SetDrained -> {
+                routingTable.setDrained(command)
                 ControlResult.Done
             }
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/RoutingTable.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/RoutingTable.kt
@@ -10,14 +10,14 @@
  *
  * @property revision grows with each effective change; processes never go back to a lower one
  * @property document the configuration as its author sent it, for reading it back
- * @property evacuated data centres whose targets get no new work
+ * @property drained data centres whose targets get no new work
  */
 @Serializable
 data class RoutingState(
     val revision: Long = 0,
     val configuration: RoutingConfiguration? = null,
     val document: Payload? = null,
-    val evacuated: Set<DataCenterName> = emptySet(),
+    val drained: Set<DataCenterName> = emptySet(),
 )
 
 /**
@@ -38,11 +38,11 @@
         )
     }
 
-    fun setEvacuated(command: SetEvacuated) {
+    fun setDrained(command: SetDrained) {
         val name = command.dataCenter
-        val next = if (command.isEvacuated) state.evacuated + name else state.evacuated - name
-        if (next == state.evacuated) return
-        state = state.copy(revision = state.revision + 1, evacuated = next)
+        val next = if (command.isDrained) state.drained + name else state.drained - name
+        if (next == state.drained) return
+        state = state.copy(revision = state.revision + 1, drained = next)
     }
 
     fun restore(snapshot: RoutingState) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetBook.kt
@@ -29,7 +29,7 @@
 ) {
     private val states = LinkedHashMap<TargetName, TargetState>()
     private var services: Map<ServiceName, ForwardingService> = emptyMap()
-    private var evacuated: Set<DataCenterName> = emptySet()
+    private var drained: Set<DataCenterName> = emptySet()
     private val durations = HashMap<ServiceName, ServiceTime>()
 
     /** Entries that share the targets, as last told; counts this one. */
@@ -54,9 +54,9 @@
     }
 
     /** Takes the published services and the data centres that get no new work. */
-    fun takeRouting(published: List<ForwardingService>, evacuatedNow: Set<DataCenterName>) {
+    fun takeRouting(published: List<ForwardingService>, drainedNow: Set<DataCenterName>) {
         services = published.associateBy { it.name }
-        evacuated = evacuatedNow
+        drained = drainedNow
     }
 
     /** Takes what all other entries have in progress. */
@@ -147,7 +147,7 @@
     private fun TargetState.isUsable(request: PlacementRequest): Boolean =
         listed.service == request.service &&
             !listed.isLeaving &&
-            listed.dataCenter !in evacuated &&
+            listed.dataCenter !in drained &&
             listed.name !in request.excluded
 
     private fun TargetState.bearsOneMore(now: ComparableTimeMark): Boolean {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -20,17 +20,17 @@
 data class RoutingUpdate(
     @SerialName("v") val revision: Long,
     @SerialName("c") val configuration: RoutingConfiguration?,
-    @SerialName("e") val evacuated: Set<DataCenterName>,
+    @SerialName("e") val drained: Set<DataCenterName>,
 ) : ControlMessage()
 
-/** Turns the routing at [base] into that at [revision]; without [difference] only evacuations. */
+/** Turns the routing at [base] into that at [revision]; without [difference] only the drained data centres. */
 @Serializable
 @SerialName("fd")
 data class RoutingChange(
     @SerialName("b") val base: Long,
     @SerialName("v") val revision: Long,
     @SerialName("d") val difference: RoutingDifference?,
-    @SerialName("e") val evacuated: Set<DataCenterName>,
+    @SerialName("e") val drained: Set<DataCenterName>,
 ) : ControlMessage()
 
 /**
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/RoutingTableTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/RoutingTableTest.kt
@@ -20,8 +20,8 @@
         PublishRouting(RoutingConfiguration(version), Payload.of(content), FleetInstant.ZERO),
     )
 
-    private fun evacuate(name: String, isEvacuated: Boolean) =
-        run(SetEvacuated(DataCenterName(name), isEvacuated, FleetInstant.ZERO))
+    private fun drain(name: String, isDrained: Boolean) =
+        run(SetDrained(DataCenterName(name), isDrained, FleetInstant.ZERO))
 
     @Nested
     inner class Configurations {
@@ -43,22 +43,22 @@
     }
 
     @Nested
-    inner class Evacuations {
+    inner class Drains {
         @Test
         fun `sent again change nothing`() {
-            evacuate("a", true)
-            evacuate("a", true)
-            assertEquals(setOf(DataCenterName("a")), state.routing.evacuated)
+            drain("a", true)
+            drain("a", true)
+            assertEquals(setOf(DataCenterName("a")), state.routing.drained)
             assertEquals(1L, state.routing.revision)
-            evacuate("a", false)
+            drain("a", false)
             assertEquals(2L, state.routing.revision)
         }
 
         @Test
         fun `outlast a new configuration`() {
-            evacuate("a", true)
+            drain("a", true)
             publish(1)
-            assertEquals(setOf(DataCenterName("a")), state.routing.evacuated)
+            assertEquals(setOf(DataCenterName("a")), state.routing.drained)
         }
     }
 
@@ -67,7 +67,7 @@
         @Test
         fun `hold the whole routing`() {
             publish(3)
-            evacuate("b", true)
+            drain("b", true)
             val restored = ControlState().apply { restore(state.snapshot()) }
             assertEquals(state.routing, restored.routing)
         }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetBookTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetBookTest.kt
@@ -48,7 +48,7 @@
     @Nested
     inner class Usable {
         @Test
-        fun `leaving, evacuated and tried targets get nothing`() {
+        fun `leaving, drained and tried targets get nothing`() {
             val book = book(target(1, isLeaving = true), target(2), target(3))
             book.takeRouting(RoutingFixture.services, setOf(DataCenterName("dc-2")))
             val left = TargetName("engines-3")
