Use the field's terms in names and comments of the forwarding code

Cause: a read of the diff since found words that a newcomer has to guess, in comments (bears, told, has not got) and in names: TargetBook, MemberKeeper, RunStatement, isSealed, UNTOLD, patience. No behaviour differs.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -104,7 +104,7 @@
     fun turn() {
         log.tick(time.markNow())
         proposeExpiry()
-        keepMembers()
+        reconcileMembers()
         log.flush(time.markNow()).forEach(::act)
         announce()
         operators.advance()
@@ -142,11 +142,11 @@
         }
     }
 
-    private fun keepMembers() {
-        val keeper = membership.keeper ?: return
+    private fun reconcileMembers() {
+        val reconciler = membership.reconciler ?: return
         val now = time.markNow()
         val view = log.memberView(now) ?: return
-        val change = keeper.next(view, now) ?: return
+        val change = reconciler.next(view, now) ?: return
         LOG.info("controller: {} of {} voters", change, view.membership.voters.size)
         log.changeMembership(change, now)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -169,7 +169,7 @@
         /** Placement tolerates loads of about this age; halving it doubles the control traffic. */
         val LOAD_INTERVAL = 250.milliseconds
 
-        /** An entry that has not reported for this long is counted out. */
+        /** Loads of an entry that has not reported for this long are ignored. */
         val REPORT_LIFETIME = 2_000.milliseconds
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
@@ -40,7 +40,7 @@
         }
     }
 
-    /** Answers reads that are confirmed, and gives up those that no majority confirmed in time. */
+    /** Answers reads that are confirmed, and fails those that no majority confirmed in time. */
     fun advance() {
         if (reads.isEmpty()) return
         val contact = if (leadership.active() == null) null else log.majorityContact
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -176,7 +176,7 @@
         if (!keepsOpen) written.addListener(ChannelFutureListener.CLOSE) else nextRequest()
     }
 
-    /** Ends the connection in the middle of an answer, which so does not look complete. */
+    /** Closes the connection in the middle of an answer, so that it does not look complete. */
     fun abort() {
         endExchange()
         channel.close()
@@ -239,7 +239,7 @@
     }
 
     private companion object {
-        /** Parts of later requests that wait; a caller that sends more at once is ended. */
+        /** Queued parts of pipelined requests; a connection that sends more is closed. */
         const val MAXIMUM_WAITING = 1_024
         val BODILESS = setOf(204, 304)
         val SHORTEST_CHECK = 100.milliseconds
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -25,9 +25,9 @@
 import org.slf4j.LoggerFactory
 
 /**
- * Follows all controllers at once, so that one that is cut off from the others delays nothing.
- * Controllers beside the [seeds] become known from those; one that no other names any more and
- * that cannot be reached is tried less and less often.
+ * Follows all controllers at once, so that a partitioned one delays nothing.
+ * Controllers beside the [seeds] become known from those; one that cannot be reached is retried
+ * with a growing pause.
  *
  * Table: [links] is a concurrent map; no lock is held while another is taken.
  *
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/EventSplitter.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/EventSplitter.kt
@@ -28,7 +28,7 @@
         return whole
     }
 
-    /** Drops an unfinished event, which the next run sends again. */
+    /** Drops an unfinished event; the resumed stream sends it again. */
     fun dropPartial() {
         partial.clear()
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -60,10 +60,10 @@
     private var status = 0
     private var isDone = false
 
-    /** Attempts that ran the request, or may have. */
+    /** Number of attempts that ran the request or may have run it. */
     private var runs = 0
 
-    /** Whether the caller has got the head of an answer. */
+    /** Whether the head of an answer was sent to the caller. */
     var isHeadSent = false
         private set
 
@@ -74,12 +74,12 @@
 
     private val isRepeatable: Boolean get() = route?.isRepeatable == true
 
-    /** Time until the caller or the route gives the request up. */
+    /** Time until the caller or the route times out. */
     val remaining: Duration get() = limit - startedAt.elapsedNow()
 
     /**
      * Finds the route and sends the request to a target, or answers at once. While the process
-     * starts and has not got routing or targets, the request waits for them for part of its time.
+     * starts and has not received routing or targets, the request waits for part of its time.
      */
     fun start() {
         val index = node.routes
@@ -99,7 +99,7 @@
                 )
         }
         val timeout = found.timeoutMilliseconds.milliseconds
-        limit = minOf(timeout, call.patience ?: timeout)
+        limit = minOf(timeout, call.callerTimeout ?: timeout)
         val chosen = drawService(found)
         service = chosen
         node.repeats.requested(chosen)
@@ -113,8 +113,8 @@
     }
 
     private fun waitForRouting() {
-        val patience = call.patience ?: LONGEST_HOLD
-        val hold = minOf(patience * HELD_SHARE, LONGEST_HOLD) - startedAt.elapsedNow()
+        val callerTimeout = call.callerTimeout ?: LONGEST_HOLD
+        val hold = minOf(callerTimeout * HELD_SHARE, LONGEST_HOLD) - startedAt.elapsedNow()
         if (!hold.isPositive()) return refuse(FinalReason.NO_ROUTING, UNREADY_PAUSE)
         node.hold(this)
         deadline = node.loop.schedule(
@@ -146,7 +146,7 @@
             remaining = remaining,
             excluded = tried,
         )
-        when (val choice = node.book.choose(request)) {
+        when (val choice = node.selector.choose(request)) {
             is PlacementChoice.Chosen -> attempt(choice.target, choice.cachedAt)
             is PlacementChoice.Refused ->
                 giveUp(FinalReason.of(choice.reason), choice.retryAfter)
@@ -157,13 +157,14 @@
         tried += target.name
         lastTarget = target.name
         attempts += 1
-        val next = TargetAttempt(this, target, cachedAt, node.book.begin(target.name, call.prompt))
+        val next =
+            TargetAttempt(this, target, cachedAt, node.selector.begin(target.name, call.prompt))
         current = next
         val kept = node.pool.takeIdle(target.name)
         if (kept != null) next.send(kept) else node.pool.connect(target, next::connected)
     }
 
-    /** The caller takes bytes again, or has enough of them for now. */
+    /** The caller's connection became writable or stopped being so. */
     fun callerWritable(isWritable: Boolean) {
         current?.connection?.setReading(isWritable)
     }
@@ -171,14 +172,14 @@
     /** The caller closed its connection. */
     fun callerLeft() {
         if (isDone) return
-        current?.cancel(AttemptResult.UNTOLD)
+        current?.cancel(AttemptResult.INCONCLUSIVE)
         end("caller-left", FinalReason.CALLER_LEFT)
     }
 
     private fun timeOut() {
         if (isDone) return
         val isSilent = !isHeadSent && startedAt.elapsedNow() > SILENCE_LIMIT
-        current?.cancel(if (isSilent) AttemptResult.SILENT else AttemptResult.UNTOLD)
+        current?.cancel(if (isSilent) AttemptResult.SILENT else AttemptResult.INCONCLUSIVE)
         if (isHeadSent) return abort(FinalReason.TIMEOUT)
         fail(HttpResponseStatus.GATEWAY_TIMEOUT, FinalReason.TIMEOUT, OwnAnswer.UNKNOWN)
     }
@@ -197,10 +198,10 @@
             isNotRun -> true
             else -> isRepeatable && runs < (route?.maximumTargets ?: 1)
         }
-        val goesOn = isAllowed && (ended.wasNeverSent || takeRepeat())
-        val next = if (goesOn) "another-target" else "final-answer"
+        val willRetry = isAllowed && (ended.wasNeverSent || takeRepeat())
+        val next = if (willRetry) "another-target" else "final-answer"
         node.log.attemptFailed(call.requestIdentifier, ended.target.name.value, cause, next)
-        if (goesOn) {
+        if (willRetry) {
             events?.dropPartial()
             place()
         } else {
@@ -229,7 +230,7 @@
     }
 
     private fun takeRepeat(): Boolean =
-        service?.let { node.repeats.take(it, node.book.entries) } == true
+        service?.let { node.repeats.take(it, node.selector.entries) } == true
 
     private fun giveUp(reason: FinalReason, retryAfter: Duration) {
         when {
@@ -285,7 +286,7 @@
     private companion object {
         val SUCCESS = 200..299
 
-        /** A route with a shorter timeout tells nothing of a target that has not answered yet. */
+        /** With a shorter timeout, a missing answer does not show that the target is lost. */
         val SILENCE_LIMIT = 1_000.milliseconds
 
         /** Targets tried for one request, most of which were not reached or stated not run. */
@@ -306,7 +307,7 @@
         /** Routing arrives within about this time of a start. */
         val UNREADY_PAUSE = 500.milliseconds
 
-        /** A target that is full has a free place after about as long. */
+        /** A full target typically frees a slot within this time. */
         val BUSY_PAUSE = 150.milliseconds
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
@@ -10,7 +10,7 @@
     /** The caller closed its connection first. */
     CALLER_LEFT("caller-left"),
 
-    /** The process has not got routing or targets yet. */
+    /** The process has not received routing or targets yet. */
     NO_ROUTING("no-routing"),
 
     /** No route matches host and path. */
@@ -25,10 +25,10 @@
     /** The answer would come too late. */
     OVERLOADED("overloaded"),
 
-    /** Only cold targets are left, and they have had what they bear. */
+    /** Only cold targets are left, and their rate limit is reached. */
     COLD("cold"),
 
-    /** The time of the route or of the caller is over. */
+    /** The timeout of the route or of the caller has passed. */
     TIMEOUT("timeout"),
 
     /** All tried targets stated that they did not run the request. */
@@ -45,7 +45,7 @@
     ;
 
     companion object {
-        /** The reason that stands for [refusal]. */
+        /** Maps [refusal] to the reason that callers see. */
         fun of(refusal: RefusalReason): FinalReason = when (refusal) {
             RefusalReason.NO_TARGET -> NO_TARGET
             RefusalReason.OVERLOADED -> OVERLOADED
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -33,7 +33,7 @@
 /**
  * The forwarder role: an entry that forwards HTTP requests by host and path straight to targets.
  * It serves on with the newest routing it knows when no controller can be reached; a process that
- * has not got any refuses all requests and is not ready.
+ * has not received any refuses all requests and is not ready.
  */
 class Forwarder(
     private val settings: Settings,
@@ -102,7 +102,7 @@
     private suspend fun reportLoads() {
         while (scope.isActive) {
             delay(REPORT_INTERVAL)
-            val uses = withContext(loop.asCoroutineDispatcher()) { node.book.ownUses() }
+            val uses = withContext(loop.asCoroutineDispatcher()) { node.selector.ownUses() }
             feed.report(EntryLoad(uses))
         }
     }
@@ -136,7 +136,7 @@
     }
 
     private companion object {
-        /** As often as controllers tell the sums. */
+        /** Matches the interval at which controllers send the sums. */
         val REPORT_INTERVAL = 250.milliseconds
 
         /** The platform asks once a second and takes a process out after two answers. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -9,7 +9,7 @@
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.RepeatAllowance
 import org.hibiscusproxy.forwarding.RouteIndex
-import org.hibiscusproxy.forwarding.TargetBook
+import org.hibiscusproxy.forwarding.TargetSelector
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingUpdate
@@ -27,7 +27,7 @@
     val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     val random = Random.Default
-    val book = TargetBook(settings.loadMultiple, time, random)
+    val selector = TargetSelector(settings.loadMultiple, time, random)
     val pool = TargetPool(loop, wire)
     val log = DecisionLog(registry, time)
     val repeats = RepeatAllowance(
@@ -53,7 +53,7 @@
 
     private val held = LinkedHashSet<Exchange>()
 
-    /** Keeps [exchange] until routing and targets are known, or until it gives up. */
+    /** Keeps [exchange] until routing and targets are known, or until its wait times out. */
     fun hold(exchange: Exchange) {
         held += exchange
     }
@@ -71,7 +71,7 @@
     }
 
     /** Whether the entry can serve: it knows routes and targets. */
-    val isServing: Boolean get() = routes != null && book.hasTargets
+    val isServing: Boolean get() = routes != null && selector.hasTargets
 
     /** Puts [update] in force unless a newer one is. */
     fun take(update: RoutingUpdate) {
@@ -79,7 +79,7 @@
         val configuration = update.configuration ?: return
         revision = update.revision
         if (routes?.configuration != configuration) routes = RouteIndex(configuration)
-        book.takeRouting(configuration.services, update.drained)
+        selector.takeRouting(configuration.services, update.drained)
         LOG.info(
             "forwarder: event=routing revision={} version={} routes={} drained={}",
             revision,
@@ -100,13 +100,13 @@
 
     /** Takes the platform's list. */
     fun take(targets: List<DiscoveredTarget>) {
-        book.takeTargets(targets)
+        selector.takeTargets(targets)
         pool.prune(targets.mapTo(HashSet()) { it.name })
         startHeld()
     }
 
     /** Takes what the other entries have in progress. */
-    fun take(load: FleetLoad) = book.takeFleetLoad(load.entries, load.uses)
+    fun take(load: FleetLoad) = selector.takeFleetLoad(load.entries, load.uses)
 
     private companion object {
         val LOG = LoggerFactory.getLogger(ForwardingNode::class.java)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -44,7 +44,7 @@
     private var isOver = false
     private var answerStatus = 0
     private var isPassedOver = false
-    private var isStatedNotRun = false
+    private var isReportedNotRun = false
     private var heldHead: HttpResponse? = null
     private var heldBody: ByteBuf? = null
 
@@ -82,7 +82,7 @@
     private fun over(result: AttemptResult) {
         isOver = true
         if (result != AttemptResult.ANSWERED) dropHeld()
-        exchange.node.book.end(placed, result)
+        exchange.node.selector.end(placed, result)
     }
 
     private fun dropHeld() {
@@ -126,15 +126,15 @@
 
     override fun onHead(response: HttpResponse, facts: AnswerFacts) {
         answerStatus = response.status().code()
-        facts.coldFor?.let { exchange.node.book.reportedCold(target.name, it) }
-        if (facts.statement != RunStatement.MAY_HAVE_RUN) {
+        facts.coldFor?.let { exchange.node.selector.reportedCold(target.name, it) }
+        if (facts.execution != ExecutionStatus.MAY_HAVE_RUN) {
             isPassedOver = true
-            isStatedNotRun = true
+            isReportedNotRun = true
             return
         }
         val isSuccess = answerStatus in SUCCESS
-        if (isSuccess && (!facts.isSealed || facts.isEncoded)) return invalid("unsigned answer")
-        exchange.node.book.answered(placed)
+        if (isSuccess && (!facts.isSigned || facts.isEncoded)) return invalid("unsigned answer")
+        exchange.node.selector.answered(placed)
         if (exchange.isHeadSent) {
             if (!isSuccess) invalid("resume answered $answerStatus")
             return
@@ -151,7 +151,7 @@
         exchange.passHead(response)
     }
 
-    /** A short answer is passed on once it is whole, so that a broken one can be replaced. */
+    /** A short answer is buffered until it is complete, so that a truncated one can be retried. */
     private fun mayHold(response: HttpResponse): Boolean =
         exchange.route?.kind == RequestKind.SAFE &&
             HttpUtil.getContentLength(response, Long.MAX_VALUE) <= HELD_BYTES
@@ -176,13 +176,13 @@
     override fun onEnd() {
         if (isOver) return
         if (isPassedOver) {
-            over(if (isStatedNotRun) AttemptResult.UNTOLD else AttemptResult.FAILED)
-            val reason = if (isStatedNotRun) {
+            over(if (isReportedNotRun) AttemptResult.INCONCLUSIVE else AttemptResult.FAILED)
+            val reason = if (isReportedNotRun) {
                 FinalReason.TARGET_REFUSED
             } else {
                 FinalReason.TARGET_FAILED
             }
-            return exchange.attemptEnded(this, reason, "answered $answerStatus", isStatedNotRun)
+            return exchange.attemptEnded(this, reason, "answered $answerStatus", isReportedNotRun)
         }
         if (exchange.events?.hasPartial == true) return onBroken("unfinished event")
         val isFailure = answerStatus >= SERVER_FAILURE
@@ -196,7 +196,7 @@
     override fun onBroken(cause: String) {
         if (isOver) return
         over(AttemptResult.BROKEN)
-        exchange.attemptEnded(this, FinalReason.TARGET_LOST, cause, isStatedNotRun)
+        exchange.attemptEnded(this, FinalReason.TARGET_LOST, cause, isReportedNotRun)
     }
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -19,7 +19,7 @@
 
 /** Takes what a target answers to one attempt. Called on the event loop. */
 internal interface AnswerListener {
-    /** The head of the answer that bears the attempt's request identifier. */
+    /** The head of the answer with the attempt's request identifier. */
     fun onHead(response: HttpResponse, facts: AnswerFacts)
 
     /** Bytes of the body; [content] is released after the call. */
@@ -89,7 +89,7 @@
         return written
     }
 
-    /** Stops reading while the caller does not take what was read. */
+    /** Pauses reading while the caller's connection is not writable. */
     fun setReading(isReading: Boolean) {
         if (listener != null) channel.config().isAutoRead = isReading
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
@@ -32,22 +32,22 @@
  * What a caller says of its request.
  *
  * @property requestIdentifier one for each attempt of the caller
- * @property patience how long the caller waits
+ * @property callerTimeout how long the caller waits, as it says
  * @property resumesAfter identifier of the last event of a stream that the caller has
  */
 data class CallFacts(
     val requestIdentifier: String?,
-    val patience: Duration?,
+    val callerTimeout: Duration?,
     val accessKey: String?,
     val prompt: Prompt?,
     val resumesAfter: String?,
 )
 
 /**
- * What the entry tells a target.
+ * Headers that the entry sets on a request to a target.
  *
  * @property target the only target that may run the request
- * @property remainingMilliseconds time after which nobody waits for the answer
+ * @property remainingMilliseconds time until the caller or the route times out
  * @property urgency rank at a model engine, 0 first; null at plain services
  * @property resumesAfter identifier of the last event that the caller has
  * @property cachedAt engine from which the target should copy what it lacks of the prompt
@@ -62,7 +62,7 @@
 )
 
 /** Whether a target ran a request. */
-enum class RunStatement {
+enum class ExecutionStatus {
     /** It ran, or may have. */
     MAY_HAVE_RUN,
 
@@ -76,15 +76,15 @@
 /**
  * What a target says about its answer.
  *
- * @property isSealed whether the answer bears the target's signature
+ * @property isSigned whether the answer carries the target's signature
  * @property isEncoded whether the body is compressed, which no caller asks for
- * @property keepsOpenFor how long the target keeps the idle connection; null if not told
- * @property coldFor how long the target stays cold; null if not told
+ * @property keepsOpenFor how long the target keeps the idle connection; null if not stated
+ * @property coldFor how long the target stays cold; null if not stated
  */
 data class AnswerFacts(
     val requestIdentifier: String?,
-    val statement: RunStatement,
-    val isSealed: Boolean,
+    val execution: ExecutionStatus,
+    val isSigned: Boolean,
     val isEncoded: Boolean,
     val keepsOpenFor: Duration?,
     val coldFor: Duration?,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/AttemptEndings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/AttemptEndings.kt
@@ -63,8 +63,8 @@
 import org.slf4j.LoggerFactory
 
 /**
- * What follows from the end of an attempt: the answer to the entry, the crash mark of its content,
- * and the word to the engine that nobody waits any more.
+ * Handles the end of an attempt: answers the entry, reports crashes, and cancels requests at the
+ * engine whose callers have left.
  */
 internal class AttemptEndings(
     private val target: TargetName,
@@ -145,7 +145,7 @@
         ?: BrokenReason.DEADLINE.takeIf { attempt.remaining <= Duration.ZERO }
         ?: BrokenReason.TARGET_LOST
 
-    /** Engines are told in words, because they notice a closed connection late. */
+    /** Engines notice a closed connection late, so the request is cancelled by a call. */
     private fun stopAtTarget(attempt: SidecarAttempt) {
         if (attempt.dispatch.path != CHAT_PATH) return
         val request = attempt.dispatch.headers.find { it.name.equals(REQUEST_HEADER, true) }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetConfiguration.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetConfiguration.kt
@@ -17,7 +17,7 @@
     var hasLoadReport = false
         private set
 
-    /** Requests that the target bears at once. */
+    /** Requests that the target can run at once. */
     @Volatile
     var capacity = 0
         private set
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Campaign.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Campaign.kt
@@ -3,14 +3,14 @@
 import kotlin.time.ComparableTimeMark
 import org.hibiscusproxy.model.ProcessName
 
-/** This replica's way into office: a preliminary round, and if that is won, the election itself. */
+/** An election by this replica: a pre-vote round, and if that is won, the vote itself. */
 internal class Campaign(private val state: ReplicaState, private val timer: ElectionTimer) {
     private var election: Election? = null
 
     /** Whether votes are being collected. */
     val isRunning: Boolean get() = election != null
 
-    /** Begins with the preliminary round; returns whether the election is won already. */
+    /** Starts the pre-vote round; returns whether the election is won already. */
     fun start(now: ComparableTimeMark): Boolean = run(isPreVote = true, now)
 
     /** Counts a vote; returns whether it won the election. */
@@ -20,7 +20,7 @@
         return conclude(current, now)
     }
 
-    /** Gives the campaign up. */
+    /** Abandons the election. */
     fun end() {
         election = null
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ElectionTimer.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ElectionTimer.kt
@@ -4,8 +4,8 @@
 import kotlin.time.ComparableTimeMark
 
 /**
- * When this replica heard a leader last, and when it stands for election. It counts as having heard
- * one at its start, since it may have forgotten that it did.
+ * Tracks the last contact with a leader and the time of the next election. Its start counts as a
+ * contact, since the replica may have heard a leader shortly before.
  */
 internal class ElectionTimer(
     private val settings: ReplicatedLogSettings,
@@ -19,7 +19,7 @@
         restart(now)
     }
 
-    /** Whether it is time to stand for election. */
+    /** Whether an election is due. */
     fun isDue(now: ComparableTimeMark): Boolean = now >= deadline
 
     /** Whether a leader was heard within the shortest election timeout. */
@@ -30,7 +30,7 @@
     fun isIsolated(now: ComparableTimeMark): Boolean =
         now - leaderContact > settings.electionTimeout * ISOLATION
 
-    /** A leader spoke at [now]. */
+    /** A message of the leader arrived at [now]. */
     fun heardLeader(now: ComparableTimeMark) {
         leaderContact = now
         restart(now)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Formation.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Formation.kt
@@ -21,7 +21,7 @@
     private val candidates = mutableMapOf<ProcessName, Long>()
     private val known = sortedMapOf<ProcessName, Long>(compareBy { it.value })
     private val introducedLast = mutableMapOf<ProcessName, ComparableTimeMark>()
-    private val heardOf = linkedSetOf<ProcessName>()
+    private val contacts = linkedSetOf<ProcessName>()
     private var introducedAt: ComparableTimeMark? = null
     private var latest: ComparableTimeMark? = null
 
@@ -31,7 +31,7 @@
             !state.membership.contains(process, identity)
         }
 
-    /** Strangers that introduced themselves within [STRANGER_LIFETIME_INTERVALS] before [now]. */
+    /** Unknown processes that introduced themselves within [STRANGER_LIFETIME_INTERVALS] before [now]. */
     fun recentStrangers(now: ComparableTimeMark): Map<ProcessName, Long> {
         val lifetime = state.settings.heartbeatInterval * STRANGER_LIFETIME_INTERVALS
         return strangers.filterKeys { process ->
@@ -55,7 +55,7 @@
     }
 
     fun introduceTo(processes: List<ProcessName>) {
-        heardOf.addAll(processes)
+        contacts.addAll(processes)
     }
 
     fun receive(sender: ProcessName, message: Introduction) {
@@ -76,7 +76,7 @@
 
     fun receive(sender: ProcessName, message: IntroductionReply) {
         if (message.asker != state.identity) return
-        heardOf.addAll(message.members)
+        contacts.addAll(message.members)
         if (message.cluster == NO_IDENTITY) {
             candidates[sender] = message.identity
         } else {
@@ -121,7 +121,7 @@
         state.hasCluster && state.membership.contains(state.name, state.identity)
 
     private fun others(): List<ProcessName> =
-        (state.settings.bootstrap + heardOf + state.membership.members.keys)
+        (state.settings.bootstrap + contacts + state.membership.members.keys)
             .distinct()
             .filter { it != state.name }
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
@@ -13,12 +13,12 @@
  * - a member that has been silent for [silenceLimit] is removed, but only while at least
  *   [minimumVoters] voters stay.
  *
- * A vote is never counted twice, because votes belong to identities and an identity dies with its
+ * A vote is never counted twice, because votes belong to identities, and an identity is lost with its
  * disk. A process without its disk votes only after a leader that holds every committed entry has
  * sent them to it. Keeping [minimumVoters] (twice the tolerated losses and one) means that a
  * member that is away with its disk still counts if another one loses its disk meanwhile.
  */
-class MemberKeeper(private val minimumVoters: Int, private val silenceLimit: Duration) {
+class MembershipReconciler(private val minimumVoters: Int, private val silenceLimit: Duration) {
     init {
         require(minimumVoters > 0) { "minimumVoters: $minimumVoters" }
     }
@@ -62,7 +62,7 @@
     /** The newest membership. */
     val membership: Membership
 
-    /** Processes that introduced themselves lately with an identity that is no member's. */
+    /** Processes that recently introduced themselves with an identity of no member. */
     val strangers: Map<ProcessName, Long>
 
     /** When [process] last answered, or was added if it has not; null for the leader. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -69,7 +69,7 @@
     /** Adds [processes] to those to which this replica introduces itself when it has to. */
     fun introduceTo(processes: List<ProcessName>) = formation.introduceTo(processes)
 
-    /** What [MemberKeeper] needs to know at a leader, or null when this replica does not lead. */
+    /** What [MembershipReconciler] needs to know at a leader, or null when this replica does not lead. */
     fun memberView(now: ComparableTimeMark): MemberView? = leadership?.let {
         LeaderMemberView(state, formation.recentStrangers(now), it, isReady, now)
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ColdAllowance.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ColdAllowance.kt
@@ -4,7 +4,7 @@
 import kotlin.time.DurationUnit
 
 /**
- * This entry's share of the requests that a cold target bears: a token bucket that holds one token
+ * This entry's share of the requests that a cold target can sustain: a token bucket that holds one token
  * at most and starts empty, so that entries that find the target at the same moment do not send to
  * it together.
  */
@@ -30,7 +30,7 @@
     }
 
     companion object {
-        /** Half of what the target bears, since requests of late or restarted entries overlap. */
+        /** Half of what the target can sustain, since late or restarted entries overlap. */
         const val USED_SHARE = 0.5
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/DiscoveredTarget.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/DiscoveredTarget.kt
@@ -13,8 +13,8 @@
  *
  * @property isLeaving whether it takes no new work
  * @property slots requests that it runs at once
- * @property coldMilliseconds time for which it still bears light load only
- * @property startedAt wall clock milliseconds of its start, if the list tells it
+ * @property coldMilliseconds time for which it still sustains light load only
+ * @property startedAt wall clock milliseconds of its start, if the list states it
  */
 @Serializable
 data class DiscoveredTarget(
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
@@ -25,7 +25,7 @@
  * A request that needs a target.
  *
  * @property objective time within which the answer is on time, counted from now
- * @property remaining time until nobody waits for the answer
+ * @property remaining time until the caller or the route times out
  * @property excluded targets that have been tried
  */
 data class PlacementRequest(
@@ -36,7 +36,7 @@
     val excluded: Set<TargetName> = emptySet(),
 )
 
-/** Where a request goes, or why it goes nowhere. */
+/** The target of a request, or the reason why it is refused. */
 sealed class PlacementChoice {
     /**
      * Send it to [target].
@@ -46,7 +46,7 @@
     data class Chosen(val target: DiscoveredTarget, val cachedAt: DiscoveredTarget? = null) :
         PlacementChoice()
 
-    /** No target can serve it in time; a place is likely after [retryAfter]. */
+    /** No target can serve it in time; capacity is likely to be free after [retryAfter]. */
     data class Refused(val reason: RefusalReason, val retryAfter: Duration) : PlacementChoice()
 }
 
@@ -55,9 +55,9 @@
     /** The service has no target that may be used. */
     NO_TARGET,
 
-    /** All targets have so much to do that the answer would come too late. */
+    /** All targets are so busy that the answer would come too late. */
     OVERLOADED,
 
-    /** All usable targets are cold and have had what they bear. */
+    /** All usable targets are cold and at their rate limit. */
     COLD,
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingConfiguration.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingConfiguration.kt
@@ -77,7 +77,7 @@
  * A service behind the routes.
  *
  * @property maximumConnections connections that one target accepts from all callers together
- * @property coldRequestsPerSecond requests that a cold target bears in a second; 0 if never cold
+ * @property coldRequestsPerSecond requests per second that a cold target can sustain; 0 if never cold
  * @property engine set for model engines
  */
 @Serializable
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingDifference.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingDifference.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What turns one [RoutingConfiguration] into another. Routes are told apart by host and prefix,
+ * The difference between two [RoutingConfiguration]s. Routes are identified by host and prefix,
  * which no two routes share; their order has no meaning.
  *
  * @property teams all teams, or null when they are the same
@@ -30,7 +30,7 @@
     }
 
     companion object {
-        /** What leads from [base] to [next]. */
+        /** The difference that turns [base] into [next]. */
         fun between(base: RoutingConfiguration, next: RoutingConfiguration): RoutingDifference {
             val before = base.routes.associateBy { it.place }
             val after = next.routes.mapTo(HashSet()) { it.place }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ServiceTime.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ServiceTime.kt
@@ -4,13 +4,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
-/** How long a service takes, learnt from answers. */
+/** Moving averages of a service's latency. */
 internal class ServiceTime {
     /** Time of a whole answer; until the first one a guess that admits requests. */
     var whole: Duration = 50.milliseconds
         private set
 
-    /** Starts low, so that unknown engines are not given too much. */
+    /** Starts low, so that engines of unknown speed are not overloaded. */
     private var tokensPerMillisecond = 20.0
 
     fun whole(taken: Duration) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetHealth.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetHealth.kt
@@ -5,7 +5,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** How an attempt at a target ended, as far as it tells of the target's health. */
+/** How an attempt ended, as evidence of the target's health. */
 enum class AttemptResult {
     /** The target answered. */
     ANSWERED,
@@ -22,13 +22,13 @@
     /** Nothing came in time. */
     SILENT,
 
-    /** It tells nothing: the caller left, or the target stated that it did not run the request. */
-    UNTOLD,
+    /** No evidence: the caller left, or the target stated that it did not run the request. */
+    INCONCLUSIVE,
 }
 
 /**
- * Judges one target by the outcomes of requests. Failures in a row suspend it for a time that
- * doubles, after which single requests try it again; a share of failures makes it less attractive.
+ * Tracks the health of one target by the outcomes of requests. Failures in a row suspend it for a time that
+ * doubles, after which single requests try it again; a high failure rate lowers its rank.
  */
 internal class TargetHealth {
     private var failuresInARow = 0
@@ -47,7 +47,7 @@
 
     fun record(result: AttemptResult, now: ComparableTimeMark) {
         when (result) {
-            AttemptResult.UNTOLD -> return
+            AttemptResult.INCONCLUSIVE -> return
 
             AttemptResult.ANSWERED -> {
                 failuresInARow = 0
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -18,11 +18,11 @@
  * engine that has read the beginning is preferred while it is not much busier than the others),
  * bursts at services with few slots (the least busy target of two drawn at random, so that entries
  * with the same view do not all choose the same one), and more work than the targets can finish in
- * time (refused at once, with the time after which a place is likely). Used by one thread.
+ * time (refused at once, with the time after which capacity is likely to be free). Used by one thread.
  *
  * @param loadMultiple bound of an engine's requests as a multiple of the mean of its service
  */
-class TargetBook(
+class TargetSelector(
     private val loadMultiple: Double,
     private val time: TimeSource.WithComparableMarks,
     private val random: Random,
@@ -32,7 +32,7 @@
     private var drained: Set<DataCenterName> = emptySet()
     private val durations = HashMap<ServiceName, ServiceTime>()
 
-    /** Entries that share the targets, as last told; counts this one. */
+    /** Number of entries that share the targets, including this one, as last reported. */
     var entries: Int = ASSUMED_ENTRIES
         private set
 
@@ -54,9 +54,9 @@
     }
 
     /** Takes the published services and the data centres that get no new work. */
-    fun takeRouting(published: List<ForwardingService>, drainedNow: Set<DataCenterName>) {
+    fun takeRouting(published: List<ForwardingService>, drainedDataCenters: Set<DataCenterName>) {
         services = published.associateBy { it.name }
-        drained = drainedNow
+        drained = drainedDataCenters
     }
 
     /** Takes what all other entries have in progress. */
@@ -88,17 +88,17 @@
         val usable = states.values.filter { it.isUsable(request) }
         if (usable.isEmpty()) return refused(RefusalReason.NO_TARGET, NO_TARGET_PAUSE)
         val sound = usable.filter { !it.health.isSuspended(now) }.ifEmpty { listOf(first(usable)) }
-        val bearable = sound.filter { it.bearsOneMore(now) }
-        if (bearable.isEmpty()) {
+        val available = sound.filter { it.acceptsOneMore(now) }
+        if (available.isEmpty()) {
             val pause = sound.minOf { it.coldTime(now) }
             return refused(RefusalReason.COLD, pause.coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE))
         }
         val prompt = request.prompt
         val isEngine = services[request.service]?.engine != null
         return if (prompt != null && isEngine) {
-            chooseEngine(request, prompt, bearable, now)
+            chooseEngine(request, prompt, available, now)
         } else {
-            chooseLeastBusy(request, bearable)
+            chooseLeastBusy(request, available)
         }
     }
 
@@ -150,7 +150,7 @@
             listed.dataCenter !in drained &&
             listed.name !in request.excluded
 
-    private fun TargetState.bearsOneMore(now: ComparableTimeMark): Boolean {
+    private fun TargetState.acceptsOneMore(now: ComparableTimeMark): Boolean {
         if (!isCold(now)) return true
         val rate = services[listed.service]?.coldRequestsPerSecond ?: 0.0
         if (rate <= 0.0) return true
@@ -169,11 +169,11 @@
         val drawn = listOf(targets.random(random), targets.random(random))
         var best = drawn.minBy(::busyness)
         val serviceTime = serviceTime(request.service).whole
-        if (best.expectedWait(serviceTime) + serviceTime > request.patience(serviceTime)) {
+        if (best.expectedWait(serviceTime) + serviceTime > request.latestFinish(serviceTime)) {
             best = targets.minBy(::busyness)
         }
         val wait = best.expectedWait(serviceTime)
-        if (wait + serviceTime > request.patience(serviceTime)) {
+        if (wait + serviceTime > request.latestFinish(serviceTime)) {
             val pause = (wait / 2).coerceIn(SHORTEST_PAUSE, LONGEST_PAUSE)
             return refused(RefusalReason.OVERLOADED, pause)
         }
@@ -181,10 +181,10 @@
     }
 
     /**
-     * Time that a request may take. While its objective can still be met it has to be, because an
-     * answer that comes late delays all that wait behind it.
+     * Time within which the answer has to be expected. While the objective can still be met it is
+     * the limit, because late answers delay every request queued behind them.
      */
-    private fun PlacementRequest.patience(serviceTime: Duration): Duration =
+    private fun PlacementRequest.latestFinish(serviceTime: Duration): Duration =
         if (objective > serviceTime) minOf(objective, remaining) else remaining
 
     private fun busyness(state: TargetState): Double {
@@ -274,7 +274,7 @@
     }
 
     private companion object {
-        /** Assumed until a controller has told; high, so that cold targets are spared. */
+        /** Assumed until a controller reports it; high, so that cold targets get little load. */
         const val ASSUMED_ENTRIES = 16
 
         /** Share of the load multiple's excess that is used: other entries' counts are stale. */
@@ -286,13 +286,13 @@
         /** An engine that fails more of its requests is passed over while others are sound. */
         const val SOUND_FAILURE_SHARE = 0.3
 
-        /** A running stream delays a new prompt about as much as reading so many tokens. */
+        /** Cost of a running stream, in tokens whose reading delays a new prompt as much. */
         const val TOKENS_PER_RUNNING = 100.0
 
-        /** A cold engine is used when the others would have to read this much more. */
+        /** Cost of a cold engine, in tokens that another one would have to read instead. */
         const val COLD_TOKENS = 4_000.0
 
-        /** An engine that fails all requests is used when the others have this much more to do. */
+        /** Cost of an engine that fails all requests, in tokens. */
         const val FAILURE_TOKENS = 20_000.0
 
         /** The same for plain services, in multiples of their slots. */
@@ -311,7 +311,7 @@
     }
 }
 
-/** An attempt that a [TargetBook] counts as in progress. */
+/** An attempt that a [TargetSelector] counts as in progress. */
 class PlacedAttempt internal constructor(
     val target: TargetName,
     internal val state: TargetState?,
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
@@ -22,7 +22,7 @@
     /** Prompt tokens that this entry sent and whose first answer has not come. */
     var ownPendingTokens = 0L
 
-    /** The same of all other entries, as last told. */
+    /** The same of all other entries, as last reported. */
     var othersRunning = 0
     var othersPendingTokens = 0L
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -23,7 +23,7 @@
     @SerialName("e") val drained: Set<DataCenterName>,
 ) : ControlMessage()
 
-/** Turns the routing at [base] into that at [revision]; without [difference] only the drained data centres. */
+/** Changes the routing from [base] to [revision]; [difference] is null if only drains changed. */
 @Serializable
 @SerialName("fd")
 data class RoutingChange(
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/MembershipReconcilerTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/MembershipReconcilerTest.kt
@@ -9,10 +9,10 @@
 import org.hibiscusproxy.model.ProcessName
 import org.junit.jupiter.api.Nested
 
-class MemberKeeperTest {
+class MembershipReconcilerTest {
     private val time = TestTimeSource()
     private val start = time.markNow()
-    private val keeper = MemberKeeper(minimumVoters = 3, silenceLimit = 10.seconds)
+    private val reconciler = MembershipReconciler(minimumVoters = 3, silenceLimit = 10.seconds)
 
     private class View(
         voters: Map<String, Long>,
@@ -40,20 +40,20 @@
         fun `with a new name are added as non-voters`() {
             val view = View(three, strangers = mapOf("d" to 4L))
             val expected = MembershipChange.AddNonVoter(ProcessName("d"), 4)
-            assertEquals(expected, keeper.next(view, start))
+            assertEquals(expected, reconciler.next(view, start))
         }
 
         @Test
         fun `with a member's name have lost their disk, so that their old identity goes first`() {
             val view = View(three, strangers = mapOf("c" to 9L))
-            assertEquals(MembershipChange.Remove(ProcessName("c")), keeper.next(view, start))
+            assertEquals(MembershipChange.Remove(ProcessName("c")), reconciler.next(view, start))
         }
 
         @Test
         fun `wait while their change is not possible`() {
             val add = MembershipChange.AddNonVoter(ProcessName("d"), 4)
             val view = View(three, strangers = mapOf("d" to 4L), refused = setOf(add))
-            assertNull(keeper.next(view, start))
+            assertNull(reconciler.next(view, start))
         }
     }
 
@@ -63,8 +63,8 @@
         fun `are promoted as soon as they have caught up`() {
             val promote = MembershipChange.Promote(ProcessName("d"))
             val late = View(three, mapOf("d" to 4L), refused = setOf(promote))
-            assertNull(keeper.next(late, start))
-            assertEquals(promote, keeper.next(View(three, mapOf("d" to 4L)), start))
+            assertNull(reconciler.next(late, start))
+            assertEquals(promote, reconciler.next(View(three, mapOf("d" to 4L)), start))
         }
 
         @Test
@@ -73,7 +73,7 @@
             val contacts = mapOf("d" to time.markNow())
             val promote = MembershipChange.Promote(ProcessName("d"))
             val view = View(three, mapOf("d" to 4L), contacts = contacts, refused = setOf(promote))
-            assertNull(keeper.next(view, time.markNow()))
+            assertNull(reconciler.next(view, time.markNow()))
         }
     }
 
@@ -84,7 +84,7 @@
         @Test
         fun `stay while no others could tolerate a loss in their place`() {
             time += 11.seconds
-            assertNull(keeper.next(View(three, contacts = contacts), time.markNow()))
+            assertNull(reconciler.next(View(three, contacts = contacts), time.markNow()))
         }
 
         @Test
@@ -92,14 +92,14 @@
             time += 11.seconds
             val view = View(three + ("d" to 4L), contacts = contacts)
             val expected = MembershipChange.Remove(ProcessName("c"))
-            assertEquals(expected, keeper.next(view, time.markNow()))
+            assertEquals(expected, reconciler.next(view, time.markNow()))
         }
 
         @Test
         fun `stay for the limit`() {
             time += 9.seconds
             val view = View(three + ("d" to 4L), contacts = contacts)
-            assertNull(keeper.next(view, time.markNow()))
+            assertNull(reconciler.next(view, time.markNow()))
         }
     }
 }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
@@ -29,16 +29,16 @@
     inner class AutomaticMembers {
         @Test
         fun `three replicas keep what they acknowledged`() =
-            runSeeds(size = 3, MemberKeeper(3, SILENCE_LIMIT))
+            runSeeds(size = 3, MembershipReconciler(3, SILENCE_LIMIT))
 
         @Test
         fun `five replicas keep what they acknowledged`() =
-            runSeeds(size = 5, MemberKeeper(3, SILENCE_LIMIT))
+            runSeeds(size = 5, MembershipReconciler(3, SILENCE_LIMIT))
 
         /** Its silence counted from the leader's start, so that it was removed and added in turn. */
         @Test
         fun `a wiped replica is added once, however long the leader has led`() {
-            val simulation = Simulation(1, 3, keeper = MemberKeeper(2, SILENCE_LIMIT))
+            val simulation = Simulation(1, 3, reconciler = MembershipReconciler(2, SILENCE_LIMIT))
             simulation.start()
             simulation.run(milliseconds = 10_000)
             val leader = checkNotNull(simulation.leader)
@@ -63,10 +63,10 @@
         }
     }
 
-    private fun runSeeds(size: Int, keeper: MemberKeeper? = null) {
+    private fun runSeeds(size: Int, reconciler: MembershipReconciler? = null) {
         var acknowledged = 0
         seeds.forEach { seed ->
-            val simulation = Simulation(seed, size, plan(seed), settings(seed), keeper)
+            val simulation = Simulation(seed, size, plan(seed), settings(seed), reconciler)
             try {
                 simulation.start()
                 simulation.run(milliseconds = 25_000)
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
@@ -23,7 +23,7 @@
     size: Int,
     private val faults: FaultPlan = FaultPlan(),
     settings: ReplicatedLogSettings = ReplicatedLogSettings(ProcessName("-"), emptyList()),
-    private val keeper: MemberKeeper? = null,
+    private val reconciler: MembershipReconciler? = null,
 ) {
     val random = Random(seed)
     val checker = HistoryChecker()
@@ -225,12 +225,12 @@
         if (isIntact) change(MembershipChange.Remove(membership.voters.random(random)))
     }
 
-    /** Brings back replicas that are not voters, as a [keeper] or else an operator does. */
+    /** Brings back replicas that are not voters, as a [reconciler] or else an operator does. */
     fun operate() {
         val log = leader?.log ?: return
-        if (keeper != null) {
+        if (reconciler != null) {
             val view = log.memberView(time.markNow()) ?: return
-            keeper.next(view, time.markNow())?.let(::change)
+            reconciler.next(view, time.markNow())?.let(::change)
             return
         }
         val members = log.membership.members
