--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/logging/LogSetup.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/logging/LogSetup.kt
@@ -15,28 +15,40 @@
 object LogSetup {
     private const val PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %msg%n%ex{5}"
 
+    private const val INITIAL_PATTERN = "%d{HH:mm:ss.SSS} %-5level %msg%n"
+    private const val STANDARD_ERROR = "System.err"
+
     /** Applies [format] to all loggers of the process. */
     fun apply(format: LogFormat) {
         val context = LoggerFactory.getILoggerFactory() as LoggerContext
         context.reset()
+        val encoder = when (format) {
+            LogFormat.TEXT -> PatternLayoutEncoder().also { it.pattern = PATTERN }
+            LogFormat.JSON -> JsonEncoder()
+        }
+        write(context, ConsoleAppender(), encoder)
+    }
+
+    /** Sends lines to standard error, for a process that has not read its settings. */
+    internal fun applyInitial(context: LoggerContext) {
+        val appender = ConsoleAppender<ILoggingEvent>().also { it.target = STANDARD_ERROR }
+        write(context, appender, PatternLayoutEncoder().also { it.pattern = INITIAL_PATTERN })
+    }
+
+    private fun write(
+        context: LoggerContext,
+        appender: ConsoleAppender<ILoggingEvent>,
+        encoder: Encoder<ILoggingEvent>,
+    ) {
         val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
         root.level = Level.INFO
         context.getLogger("io.javalin").level = Level.WARN
         context.getLogger("org.eclipse.jetty").level = Level.WARN
-        val appender = ConsoleAppender<ILoggingEvent>()
+        encoder.context = context
+        encoder.start()
         appender.context = context
-        appender.encoder = encoder(format, context)
+        appender.encoder = encoder
         appender.start()
         root.addAppender(appender)
     }
-
-    private fun encoder(format: LogFormat, context: LoggerContext): Encoder<ILoggingEvent> {
-        val encoder = when (format) {
-            LogFormat.TEXT -> PatternLayoutEncoder().also { it.pattern = PATTERN }
-            LogFormat.JSON -> JsonEncoder()
-        }
-        encoder.context = context
-        encoder.start()
-        return encoder
-    }
 }
