Start the roles before the administration page

Cause: a controller started its administration page (Javalin, Jetty: 0.23 s of 0.55 s) before its replica, and nobody could reach the replica until then. After the loss of all processes the election starts only when a majority can be reached. Ruled out: the operators' interface, which was last already. Change: order, and the server is made when it starts. FleetProcessTest failed before.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
@@ -14,7 +14,9 @@
     private val registry: PrometheusMeterRegistry,
     private val isReady: () -> Boolean,
 ) : AutoCloseable {
-    private val server: Javalin = Javalin.create { config ->
+    private val server = lazy(::create)
+
+    private fun create(): Javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
         config.jetty.threadPool = QueuedThreadPool(MAXIMUM_THREADS, 1)
         config.routes.get("/health") { it.result("ok\n") }
@@ -29,11 +31,11 @@
 
     /** Opens the listener. */
     fun start() {
-        server.start(address.host, address.port)
+        server.value.start(address.host, address.port)
     }
 
     override fun close() {
-        server.stop()
+        if (server.isInitialized()) server.value.stop()
     }
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
@@ -27,10 +27,10 @@
     /** Whether all roles take new work and no shutdown has begun. */
     val isReady: Boolean get() = !stopping.get() && roles.values.all { it.isReady }
 
-    /** Starts all roles. */
+    /** Starts all roles, and then the administration page, for which no other process waits. */
     suspend fun start() {
-        administration?.start()
         roles.values.forEach { it.start() }
+        administration?.start()
         events.record(FleetEvent.ProcessStarted(roles.keys.toList()))
         logger.info("process: Started as {}.", roles.keys.joinToString())
     }
