Write log lines without a parsed pattern

Cause: a class-load log shows about 50 ms of a start in Logback's pattern parser and its converters, twice, for the lines before and after the settings are read. Change: LineLayout writes the same columns, time in UTC.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/logging/LogSetup.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/logging/LogSetup.kt
@@ -3,19 +3,16 @@
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.encoder.JsonEncoder
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.encoder.Encoder
+import ch.qos.logback.core.encoder.LayoutWrappingEncoder
 import org.hibiscusproxy.daemon.settings.LogFormat
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
 /** Sends log lines to standard output in the form that the settings name. */
 object LogSetup {
-    private const val PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %msg%n%ex{5}"
-
-    private const val INITIAL_PATTERN = "%d{HH:mm:ss.SSS} %-5level %msg%n"
     private const val STANDARD_ERROR = "System.err"
 
     /** Applies [format] to all loggers of the process. */
@@ -23,7 +20,7 @@
         val context = LoggerFactory.getILoggerFactory() as LoggerContext
         context.reset()
         val encoder = when (format) {
-            LogFormat.TEXT -> PatternLayoutEncoder().also { it.pattern = PATTERN }
+            LogFormat.TEXT -> lines(context)
             LogFormat.JSON -> JsonEncoder()
         }
         write(context, ConsoleAppender(), encoder)
@@ -32,7 +29,14 @@
     /** Sends lines to standard error, for a process that has not read its settings. */
     internal fun applyInitial(context: LoggerContext) {
         val appender = ConsoleAppender<ILoggingEvent>().also { it.target = STANDARD_ERROR }
-        write(context, appender, PatternLayoutEncoder().also { it.pattern = INITIAL_PATTERN })
+        write(context, appender, lines(context))
+    }
+
+    private fun lines(context: LoggerContext): Encoder<ILoggingEvent> {
+        val layout = LineLayout()
+        layout.context = context
+        layout.start()
+        return LayoutWrappingEncoder<ILoggingEvent>().also { it.layout = layout }
     }
 
     private fun write(
