Tell the other entries which engine was sent a prompt

Entries knew only what they sent themselves and guessed the rest from the usual homes. Ruled out: engines that forget (their memory is far larger), missing sources (10 thousand tokens). Change: load reports carry the shared parts that an entry sent to an engine that lacked them; the leader passes them on with the loads. TargetSelectorTest "is copied from the engine to which another entry sent it".

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -16,13 +16,14 @@
 import org.hibiscusproxy.protocol.RoutingCurrent
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.SentPrompt
 import org.hibiscusproxy.protocol.TargetList
 import org.hibiscusproxy.protocol.TargetUse
 
 /**
  * Feeds the entries that forward by host and path: routing as this controller has applied it, the
  * list of targets as it was last read, and, while this controller leads, what all other entries
- * have in progress. Entries follow every controller and keep the newest revision, so that a
+ * have in progress and which prompts they sent where. Entries follow every controller and keep the newest revision, so that a
  * controller that is cut off from the others does not hold them back. Used by the worker only.
  */
 internal class EntryFeed(
@@ -57,6 +58,8 @@
         val subscriber = subscribers[session] ?: return
         subscriber.uses = load.uses.associateBy { it.target }
         subscriber.reportedAt = time.markNow()
+        if (load.prompts.isEmpty()) return
+        subscribers.values.filter { it !== subscriber }.forEach { it.addPrompts(load.prompts) }
     }
 
     /** Takes the platform's list and passes it on at once. */
@@ -115,14 +118,21 @@
         var uses: Map<TargetName, TargetUse> = emptyMap()
         var reportedAt: ComparableTimeMark? = null
         private var sentLoad: FleetLoad? = null
+        private val unsentPrompts = ArrayDeque<SentPrompt>()
 
         fun isReporting(now: ComparableTimeMark): Boolean =
             reportedAt.let { it != null && now - it < REPORT_LIFETIME }
 
+        fun addPrompts(prompts: List<SentPrompt>) {
+            unsentPrompts.addAll(prompts)
+            while (unsentPrompts.size > MAXIMUM_PROMPTS) unsentPrompts.removeFirst()
+        }
+
         fun send(load: FleetLoad) {
-            if (load == sentLoad) return
+            if (load == sentLoad && unsentPrompts.isEmpty()) return
             sentLoad = load
-            session.send(load)
+            session.send(load.copy(prompts = unsentPrompts.toList()))
+            unsentPrompts.clear()
         }
 
         fun push(known: Long) {
@@ -169,6 +179,9 @@
         /** Placement tolerates loads of about this age; halving it doubles the control traffic. */
         val LOAD_INTERVAL = 250.milliseconds
 
+        /** Bounds a message to about 20 KB; what is dropped is only read or copied again. */
+        const val MAXIMUM_PROMPTS = 256
+
         /** Loads of an entry that has not reported for this long are ignored. */
         val REPORT_LIFETIME = 2_000.milliseconds
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -21,7 +21,6 @@
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.transport.KtorPeerTransport
 import org.hibiscusproxy.daemon.transport.transportSettings
-import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.PeerMessage
@@ -99,8 +98,7 @@
     private suspend fun reportLoads() {
         while (scope.isActive) {
             delay(REPORT_INTERVAL)
-            val uses = withContext(loop.asCoroutineDispatcher()) { node.selector.ownUses() }
-            feed.report(EntryLoad(uses))
+            feed.report(withContext(loop.asCoroutineDispatcher()) { node.load() })
         }
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -10,6 +10,7 @@
 import org.hibiscusproxy.forwarding.RepeatAllowance
 import org.hibiscusproxy.forwarding.RouteIndex
 import org.hibiscusproxy.forwarding.TargetSelector
+import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingUpdate
@@ -106,7 +107,10 @@
     }
 
     /** Takes what the other entries have in progress. */
-    fun take(load: FleetLoad) = selector.takeFleetLoad(load.entries, load.uses)
+    fun take(load: FleetLoad) = selector.takeFleetLoad(load.entries, load.uses, load.prompts)
+
+    /** What this entry has in progress and sent, for the others. */
+    fun load() = EntryLoad(selector.ownUses(), selector.takeSentPrompts())
 
     private companion object {
         val LOG = LoggerFactory.getLogger(ForwardingNode::class.java)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
@@ -1,11 +1,14 @@
 package org.hibiscusproxy.forwarding
 
 import kotlin.time.Duration
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
 
 /** One part of a prompt. Prompts with the same leading parts share what an engine cached. */
-data class PromptPart(val identifier: String, val tokens: Long)
+@Serializable
+data class PromptPart(@SerialName("i") val identifier: String, @SerialName("n") val tokens: Long)
 
 /**
  * A prompt as the caller describes it.
@@ -19,7 +22,10 @@
     val parts: List<PromptPart>,
     val promptTokens: Long,
     val outputTokens: Long,
-)
+) {
+    /** The parts that other prompts may have as well. */
+    val sharedParts: List<PromptPart> get() = parts.dropLast(1)
+}
 
 /**
  * A request that needs a target.
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PrefixMemory.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PrefixMemory.kt
@@ -1,7 +1,7 @@
 package org.hibiscusproxy.forwarding
 
 /**
- * What one engine is believed to have cached: the parts of the prompts that this entry sent to it,
+ * What one engine is believed to have cached: the parts of the prompts that the entries sent to it,
  * the least recently used ones forgotten beyond [capacityTokens].
  */
 internal class PrefixMemory(private val capacityTokens: Long) {
@@ -18,9 +18,12 @@
         return (prompt.promptTokens - cached).coerceAtLeast(0)
     }
 
-    /** Remembers that the engine reads [prompt]. */
-    fun add(prompt: Prompt) {
-        prompt.parts.forEach { part ->
+    /** Whether all of [shared] are believed cached. */
+    fun holds(shared: List<PromptPart>): Boolean = shared.all { it.identifier in parts }
+
+    /** Remembers that the engine reads or copies [read]. */
+    fun add(read: List<PromptPart>) {
+        read.forEach { part ->
             val before = parts.put(part.identifier, part.tokens) ?: 0
             tokens += part.tokens - before
         }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -11,6 +11,7 @@
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.placement.Hashing
 import org.hibiscusproxy.placement.Rendezvous
+import org.hibiscusproxy.protocol.SentPrompt
 import org.hibiscusproxy.protocol.TargetUse
 
 /**
@@ -31,6 +32,7 @@
     private var services: Map<ServiceName, ForwardingService> = emptyMap()
     private var drained: Set<DataCenterName> = emptySet()
     private val durations = HashMap<ServiceName, ServiceTime>()
+    private val sentPrompts = SentPrompts()
 
     /** Number of entries that share the targets, including this one, as last reported. */
     var entries: Int = ASSUMED_ENTRIES
@@ -59,8 +61,12 @@
         drained = drainedDataCenters
     }
 
-    /** Takes what all other entries have in progress. */
-    fun takeFleetLoad(entryCount: Int, uses: List<TargetUse>) {
+    /** Takes what all other entries have in progress, and the [prompts] that they sent lately. */
+    fun takeFleetLoad(
+        entryCount: Int,
+        uses: List<TargetUse>,
+        prompts: List<SentPrompt> = emptyList(),
+    ) {
         entries = entryCount.coerceAtLeast(1)
         states.values.forEach {
             it.othersRunning = 0
@@ -72,8 +78,12 @@
                 it.othersPendingTokens = use.pendingTokens
             }
         }
+        prompts.forEach { states[it.target]?.memory?.add(it.parts) }
     }
 
+    /** Prompts that this entry sent since the last call to engines that lacked them. */
+    fun takeSentPrompts(): List<SentPrompt> = sentPrompts.take()
+
     /** What this entry has in progress, for the others. */
     fun ownUses(): List<TargetUse> = states.values
         .filter { it.ownRunning > 0 }
@@ -110,11 +120,17 @@
             state.ownRunning += 1
             state.ownPendingTokens += missing
             if (state.isCold(time.markNow())) state.takeColdAllowance()
-            prompt?.let(state.memory::add)
+            prompt?.let { remember(it, state) }
         }
         return PlacedAttempt(target, state, missing, time.markNow())
     }
 
+    private fun remember(prompt: Prompt, state: TargetState) {
+        val shared = prompt.sharedParts
+        if (!state.memory.holds(shared)) sentPrompts.add(state.listed.name, shared)
+        state.memory.add(prompt.parts)
+    }
+
     /** The first part of the answer to [attempt] has come. */
     fun answered(attempt: PlacedAttempt) {
         if (attempt.isAnswered) return
@@ -260,7 +276,7 @@
 
     /** The engines in the order in which all entries prefer them for the shared parts. */
     private fun homes(prompt: Prompt, candidates: List<TargetState>): List<TargetState> {
-        val shared = prompt.parts.dropLast(1).lastOrNull() ?: prompt.parts.lastOrNull()
+        val shared = prompt.sharedParts.lastOrNull() ?: prompt.parts.lastOrNull()
         val hash = Hashing.of(shared?.identifier ?: return emptyList())
         return candidates
             .sortedByDescending { Rendezvous.score(hash, it.listed.name, weight = 1.0) }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.hibiscusproxy.forwarding.DiscoveredTarget
+import org.hibiscusproxy.forwarding.PromptPart
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.forwarding.RoutingDifference
 import org.hibiscusproxy.model.DataCenterName
@@ -60,15 +61,34 @@
     @SerialName("w") val pendingTokens: Long = 0,
 )
 
-/** What an entry has in progress; targets without any are left out. */
+/** Shared parts of a prompt that an entry sent to an engine, which has them cached from then on. */
+@Serializable
+data class SentPrompt(
+    @SerialName("t") val target: TargetName,
+    @SerialName("p") val parts: List<PromptPart>,
+)
+
+/**
+ * What an entry has in progress; targets without any are left out.
+ *
+ * @property prompts shared parts that it sent since its last report to engines that lacked them
+ */
 @Serializable
 @SerialName("fl")
-data class EntryLoad(@SerialName("u") val uses: List<TargetUse>) : ControlMessage()
+data class EntryLoad(
+    @SerialName("u") val uses: List<TargetUse>,
+    @SerialName("p") val prompts: List<SentPrompt> = emptyList(),
+) : ControlMessage()
 
-/** What all other entries together have in progress, and how many entries there are. */
+/**
+ * What all other entries together have in progress, and how many entries there are.
+ *
+ * @property prompts shared parts that the others sent since the last message
+ */
 @Serializable
 @SerialName("fo")
 data class FleetLoad(
     @SerialName("n") val entries: Int,
     @SerialName("u") val uses: List<TargetUse>,
+    @SerialName("p") val prompts: List<SentPrompt> = emptyList(),
 ) : ControlMessage()
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
@@ -124,6 +124,24 @@
             assertTrue(moved.size in 1..25, "${moved.size} of 50 moved")
         }
 
+        @Test
+        fun `a prompt is copied from the engine to which another entry sent it`() {
+            val targets = (1..5).map { target(it) }.toTypedArray()
+            val (first, second) = listOf(selector(*targets), selector(*targets, seed = 2))
+            time += 60.seconds
+            val shared = prompt("subject")
+            val home = first.chosen(request(prompt = shared))
+            val holder = (1..5).map { TargetName("engines-$it") }.last { it != home }
+            first.begin(holder, shared)
+
+            second.takeFleetLoad(2, emptyList(), first.takeSentPrompts())
+
+            val choice = assertIs<PlacementChoice.Chosen>(second.choose(request(prompt = shared)))
+            assertEquals(home, choice.target.name)
+            assertEquals(holder, choice.cachedAt?.name)
+            assertEquals(emptyList(), first.takeSentPrompts())
+        }
+
         @Test
         fun `work of other entries counts`() {
             val selector = selector(target(1), target(2))
