Look for controllers at short intervals while callers wait

Ruled out: reading the log (10 to 15 ms), opening the storage (15 ms), replay. Change: 50 ms, times one to two, while a process has no routing. ControllerFeedTest failed before with 5 attempts in 2 s.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -82,7 +82,7 @@
                 val opened = transport.connect(address).get()
                 if (opened == null) {
                     lost("not reached")
-                    pause = minOf(pause * 2, LONGEST_PAUSE)
+                    pause = nextPause()
                 } else {
                     use(opened)
                     lost("connection ended")
@@ -91,6 +91,10 @@
             }
         }
 
+        /** Requests wait here until the first controller is reached, which may be starting too. */
+        private fun nextPause(): Duration =
+            if (knownRevision() == 0L) UNSERVED_PAUSE else minOf(pause * 2, LONGEST_PAUSE)
+
         private suspend fun use(opened: PeerConnection) = opened.use {
             wasReached = true
             pause = SHORTEST_PAUSE
@@ -125,8 +129,11 @@
     private companion object {
         val SHORTEST_PAUSE = 100.milliseconds
 
-        /** Callers wait for a controller that starts together with the entry. */
+        /** Bounds the attempts to reach controllers that are gone for good. */
         val LONGEST_PAUSE = 300.milliseconds
+
+        /** Half of the shortest delay that a waiting caller notices. */
+        val UNSERVED_PAUSE = 50.milliseconds
         val LOG = LoggerFactory.getLogger(ControllerFeed::class.java)
     }
 }
