--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ServiceTime.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ServiceTime.kt
@@ -10,11 +10,8 @@
     var whole: Duration = 50.milliseconds
         private set
 
-    /**
-     * Unknown until the first measurement, because a guess that is too low would send prompts away
-     * from the engines that have them. The load bound limits what engines get until then.
-     */
-    private var tokensPerMillisecond: Double? = null
+    /** Starts low, so that engines of unknown speed are not overloaded. */
+    private var tokensPerMillisecond = 20.0
 
     fun whole(taken: Duration) {
         whole += (taken - whole) * SMOOTHING
@@ -23,14 +20,11 @@
     fun firstPart(taken: Duration, tokens: Long) {
         if (tokens < MEASURED_TOKENS) return
         val speed = tokens / taken.toDouble(DurationUnit.MILLISECONDS).coerceAtLeast(1.0)
-        val before = tokensPerMillisecond ?: speed
-        val weight = if (speed > before) RISE else SMOOTHING
-        tokensPerMillisecond = before + (speed - before) * weight
+        val weight = if (speed > tokensPerMillisecond) RISE else SMOOTHING
+        tokensPerMillisecond += (speed - tokensPerMillisecond) * weight
     }
 
-    /** Expected time until an engine has read [tokens]; none while its speed is unknown. */
-    fun readingTime(tokens: Long): Duration =
-        tokensPerMillisecond?.let { (tokens / it).milliseconds } ?: Duration.ZERO
+    fun readingTime(tokens: Long): Duration = (tokens / tokensPerMillisecond).milliseconds
 
     private companion object {
         /** Weight of the newest of about ten measurements. */
