Bound the traffic about sent prompts

Cause: messages about sent prompts held up to 256 of them, four times a second: 80 KB/s at worst where a node of the stated size may use 3 KB/s for control. Change: SentPrompts, used by entries and by the leader, tells 8 a message, oldest first, and drops what waits too long.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -7,6 +7,7 @@
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.forwarding.RoutingDifference
+import org.hibiscusproxy.forwarding.SentPrompts
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.ControlMessage
@@ -16,7 +17,6 @@
 import org.hibiscusproxy.protocol.RoutingCurrent
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.RoutingUpdate
-import org.hibiscusproxy.protocol.SentPrompt
 import org.hibiscusproxy.protocol.TargetList
 import org.hibiscusproxy.protocol.TargetUse
 
@@ -58,8 +58,8 @@
         val subscriber = subscribers[session] ?: return
         subscriber.uses = load.uses.associateBy { it.target }
         subscriber.reportedAt = time.markNow()
-        if (load.prompts.isEmpty()) return
-        subscribers.values.filter { it !== subscriber }.forEach { it.addPrompts(load.prompts) }
+        val others = subscribers.values.filter { it !== subscriber }
+        load.prompts.forEach { sent -> others.forEach { it.unsentPrompts.add(sent) } }
     }
 
     /** Takes the platform's list and passes it on at once. */
@@ -118,21 +118,15 @@
         var uses: Map<TargetName, TargetUse> = emptyMap()
         var reportedAt: ComparableTimeMark? = null
         private var sentLoad: FleetLoad? = null
-        private val unsentPrompts = ArrayDeque<SentPrompt>()
+        val unsentPrompts = SentPrompts()
 
         fun isReporting(now: ComparableTimeMark): Boolean =
             reportedAt.let { it != null && now - it < REPORT_LIFETIME }
 
-        fun addPrompts(prompts: List<SentPrompt>) {
-            unsentPrompts.addAll(prompts)
-            while (unsentPrompts.size > MAXIMUM_PROMPTS) unsentPrompts.removeFirst()
-        }
-
         fun send(load: FleetLoad) {
-            if (load == sentLoad && unsentPrompts.isEmpty()) return
+            if (load == sentLoad && unsentPrompts.isEmpty) return
             sentLoad = load
-            session.send(load.copy(prompts = unsentPrompts.toList()))
-            unsentPrompts.clear()
+            session.send(load.copy(prompts = unsentPrompts.take()))
         }
 
         fun push(known: Long) {
@@ -179,9 +173,6 @@
         /** Placement tolerates loads of about this age; halving it doubles the control traffic. */
         val LOAD_INTERVAL = 250.milliseconds
 
-        /** Bounds a message to about 20 KB; what is dropped is only read or copied again. */
-        const val MAXIMUM_PROMPTS = 256
-
         /** Loads of an entry that has not reported for this long are ignored. */
         val REPORT_LIFETIME = 2_000.milliseconds
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -81,7 +81,7 @@
         prompts.forEach { states[it.target]?.memory?.add(it.parts) }
     }
 
-    /** Prompts that this entry sent since the last call to engines that lacked them. */
+    /** Prompts that this entry sent to engines that lacked them, for the next report. */
     fun takeSentPrompts(): List<SentPrompt> = sentPrompts.take()
 
     /** What this entry has in progress, for the others. */
@@ -127,7 +127,7 @@
 
     private fun remember(prompt: Prompt, state: TargetState) {
         val shared = prompt.sharedParts
-        if (!state.memory.holds(shared)) sentPrompts.add(state.listed.name, shared)
+        if (!state.memory.holds(shared)) sentPrompts.add(SentPrompt(state.listed.name, shared))
         state.memory.add(prompt.parts)
     }
 
