--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
@@ -9,11 +9,12 @@
 
 /**
  * Guards against histories that break a guarantee of the log under random faults. A failure names
- * its seed; `-Dconsensus.seed=N` runs that seed only.
+ * its seed; `-Dconsensus.seed=N` runs that seed only, `-Dconsensus.seeds=N` the first N seeds.
  */
 class ReplicatedLogSimulationTest {
     private val seeds: Iterable<Long> =
-        System.getProperty("consensus.seed")?.toLong()?.let(::listOf) ?: (1L..50L)
+        System.getProperty("consensus.seed")?.toLong()?.let(::listOf)
+            ?: (1L..(System.getProperty("consensus.seeds")?.toLong() ?: 50L))
 
     @Nested
     inner class RandomFaults {
