--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -23,8 +23,9 @@
 /**
  * Feeds the entries that forward by host and path: routing as this controller has applied it, the
  * list of targets as it was last read, and, while this controller leads, what all other entries
- * have in progress and which prompts they sent where. Entries follow every controller and keep the newest revision, so that a
- * controller that is cut off from the others does not hold them back. Used by the worker only.
+ * have in progress and which prompts they sent where. Entries follow every controller and keep the
+ * newest revision, so that a controller that is cut off from the others does not hold them back.
+ * Used by the worker only.
  */
 internal class EntryFeed(
     private val state: ControlState,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -132,7 +132,7 @@
         /** Bounds the attempts to reach controllers that are gone for good. */
         val LONGEST_PAUSE = 300.milliseconds
 
-        /** Half of the shortest delay that a waiting caller notices. */
+        /** Adds at most a tenth of a second to the wait of callers; a refused attempt costs little. */
         val UNSERVED_PAUSE = 50.milliseconds
         val LOG = LoggerFactory.getLogger(ControllerFeed::class.java)
     }
