Test what entries are told of each other

EntryFeed had no test of its own: sent prompts reach each other entry once and in small messages, loads are summed and sent again only when they change. No change of the product; passes as it is.

--- /dev/null
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
@@ -0,0 +1,91 @@
+package org.hibiscusproxy.daemon.controller
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+import org.hibiscusproxy.control.ControlState
+import org.hibiscusproxy.forwarding.PromptPart
+import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.EntryLoad
+import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.Hello
+import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.RoutingRequest
+import org.hibiscusproxy.protocol.SentPrompt
+import org.hibiscusproxy.protocol.TargetUse
+import org.junit.jupiter.api.Nested
+
+class EntryFeedTest {
+    private val time = TestTimeSource()
+    private val feed = EntryFeed(ControlState(), time, { true }, { emptyList() })
+
+    /** An entry that keeps what it is sent. */
+    private class Entry(name: String) : PeerSession {
+        override val remote = Hello(ProcessName(name), DataCenterName("a"), Incarnation(1))
+        private val received = mutableListOf<PeerMessage>()
+
+        override fun send(message: PeerMessage) {
+            received += message
+        }
+
+        override fun close() = Unit
+
+        val loads: List<FleetLoad> get() = received.filterIsInstance<FleetLoad>()
+        val prompts: List<SentPrompt> get() = loads.flatMap { it.prompts }
+    }
+
+    private val entries = List(3) { Entry("entry-$it") }
+        .onEach { feed.subscribe(it, RoutingRequest(0)) }
+
+    private fun prompt(number: Int) =
+        SentPrompt(TargetName("engine"), listOf(PromptPart("part-$number", 1_000)))
+
+    private fun passInterval() {
+        time += 250.milliseconds
+        feed.advance()
+    }
+
+    @Nested
+    inner class SentPrompts {
+        @Test
+        fun `of one entry reach each of the others once`() {
+            entries.forEach { feed.report(it, EntryLoad(emptyList())) }
+            feed.report(entries[0], EntryLoad(emptyList(), listOf(prompt(1))))
+            repeat(3) { passInterval() }
+            assertEquals(
+                listOf(emptyList(), listOf(prompt(1)), listOf(prompt(1))),
+                entries.map { it.prompts },
+            )
+        }
+
+        @Test
+        fun `are spread over several messages, though the loads stay the same`() {
+            val sent = (1..20).map(::prompt)
+            entries.forEach { feed.report(it, EntryLoad(emptyList())) }
+            feed.report(entries[0], EntryLoad(emptyList(), sent))
+            repeat(4) { passInterval() }
+            assertEquals(sent, entries[1].prompts)
+            assertTrue(entries[1].loads.all { it.prompts.size <= 8 })
+        }
+    }
+
+    @Nested
+    inner class Loads {
+        @Test
+        fun `of the others are summed, and sent again only when they change`() {
+            val target = TargetName("engine")
+            feed.report(entries[0], EntryLoad(listOf(TargetUse(target, 2, 100))))
+            feed.report(entries[1], EntryLoad(listOf(TargetUse(target, 3, 50))))
+            feed.report(entries[2], EntryLoad(emptyList()))
+            repeat(3) { passInterval() }
+            val seen = entries[2].loads.single()
+            assertEquals(3, seen.entries)
+            assertEquals(listOf(TargetUse(target, 5, 150)), seen.uses)
+        }
+    }
+}
