--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
@@ -14,7 +14,7 @@
 class ReplicatedLogSimulationTest {
     private val seeds: Iterable<Long> =
         System.getProperty("consensus.seed")?.toLong()?.let(::listOf)
-            ?: (1L..(System.getProperty("consensus.seeds")?.toLong() ?: 50L))
+            ?: (1L..(System.getProperty("consensus.seeds")?.toLong() ?: DEFAULT_SEEDS))
 
     @Nested
     inner class RandomFaults {
@@ -81,6 +81,8 @@
     }
 
     private companion object {
+        /** A thousand histories over the four tests. */
+        const val DEFAULT_SEEDS = 250L
         val SILENCE_LIMIT = 2.seconds
         const val LATE_STEPS = 25
     }
