Accept fractions for bounds that the platform fills in

Cause: the platform states its bounds as integers, fractions or booleans, and the template passes them on, but four settings were declared as whole numbers: retrySlack, graceSeconds, retryWindowSeconds and contactMilliseconds. Class: a type narrower than the documented values of its source. The other fields of the templates were looked through: ports and tolerated losses are counts, retryRatio and loadMultiple are fractions already.

Change: the four are Double.

Evidence: DeployTemplateTest renders the deploy templates. On 'start with bounds that are fractions' failed for forwarders (four faults) and for controllers (contactMilliseconds); now all four of its tests pass, and so do SettingsReaderTest and OuterNamesTest.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -40,7 +40,7 @@
         minimum = 300.0,
         maximum = 60_000.0,
     )
-    val contactMilliseconds: Long? = null,
+    val contactMilliseconds: Double? = null,
     @Setting("File to which the process writes its timeline events; none when null.")
     val eventFile: String? = null,
     @Setting("Format of log lines on standard output: text or json.")
@@ -135,7 +135,7 @@
         minimum = 1.0,
         maximum = 3600.0,
     )
-    val graceSeconds: Int = 8,
+    val graceSeconds: Double = 8.0,
     @Setting(
         "Extra arrivals at a service allowed as a ratio to its requests, over all entries.",
         minimum = 0.0,
@@ -147,14 +147,14 @@
         minimum = 0.0,
         maximum = 100_000.0,
     )
-    val retrySlack: Int = 10,
+    val retrySlack: Double = 10.0,
     @Setting(
         "Time over which extra arrivals are counted.",
         unit = "seconds",
         minimum = 1.0,
         maximum = 600.0,
     )
-    val retryWindowSeconds: Int = 10,
+    val retryWindowSeconds: Double = 10.0,
     @Setting(
         "Load bound of a model engine as a multiple of the mean of its service.",
         minimum = 1.0,
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RetryLimiter.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RetryLimiter.kt
@@ -14,7 +14,7 @@
  */
 class RetryLimiter(
     private val ratio: Double,
-    private val slack: Int,
+    private val slack: Double,
     private val window: Duration,
     private val time: TimeSource.WithComparableMarks,
 ) {
