--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -5,6 +5,8 @@
 import kotlin.time.TimeSource
 import org.hibiscusproxy.consensus.ConsensusOutput
 import org.hibiscusproxy.consensus.ConsensusRole
+import org.hibiscusproxy.consensus.LeadershipLoss
+import org.hibiscusproxy.consensus.PeerContact
 import org.hibiscusproxy.consensus.ReplicatedLog
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.Expire
@@ -170,6 +172,8 @@
 
             is ConsensusOutput.LeadershipChanged -> leadershipChanged(output)
 
+            is ConsensusOutput.LeadershipLost -> logLoss(output.cause)
+
             is ConsensusOutput.SnapshotInstalled ->
                 LOG.info("controller: installed a snapshot up to index {}", output.index)
         }
@@ -189,6 +193,25 @@
         }
     }
 
+    private fun logLoss(cause: LeadershipLoss): Unit = when (cause) {
+        is LeadershipLoss.MajorityLost -> LOG.warn(
+            "controller: stopped leading, a majority is silent: {}",
+            cause.peers.joinToString("; ") { it.describe() },
+        )
+
+        is LeadershipLoss.TermEnded ->
+            LOG.info("controller: stopped leading, term {} has begun", cause.term)
+
+        is LeadershipLoss.Removed ->
+            LOG.info("controller: stopped leading, this controller was removed")
+    }
+
+    private fun PeerContact.describe(): String {
+        val request = outstanding?.let { "request open for ${it.inWholeMilliseconds} ms" }
+        return "$process silent for ${silence?.inWholeMilliseconds} ms, ${request ?: "no request"}, " +
+            "$resentRequests resent with $resentBytes bytes"
+    }
+
     private fun announceChanges() {
         val version = state.fleet.version
         if (version != announcedVersion) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerWorker.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerWorker.kt
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.Executors
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -64,13 +66,26 @@
 
     private suspend fun runCycle() {
         var input: ControllerInput? = inputs.receive()
+        val startedAt = TimeSource.Monotonic.markNow()
         var processed = 0
         while (input != null) {
             core.handle(input)
             processed += 1
             input = if (processed < MAXIMUM_BATCH_SIZE) inputs.tryReceive().getOrNull() else null
         }
+        val handled = startedAt.elapsedNow()
         core.advance()
+        logIfSlow(processed, handled, startedAt.elapsedNow())
+    }
+
+    private fun logIfSlow(processed: Int, handled: Duration, total: Duration) {
+        if (total < SLOW_CYCLE) return
+        LOG.warn(
+            "controller: slow cycle, {} inputs took {} ms, advancing the core {} ms",
+            processed,
+            handled.inWholeMilliseconds,
+            (total - handled).inWholeMilliseconds,
+        )
     }
 
     private fun fail(thrown: Throwable) {
@@ -90,6 +105,9 @@
     private companion object {
         const val QUEUE_CAPACITY = 4_096
         const val MAXIMUM_BATCH_SIZE = 512
+
+        /** Heartbeats wait for a cycle to end, so a few of these cost an election. */
+        val SLOW_CYCLE = 100.milliseconds
         val LOG: Logger = LoggerFactory.getLogger(ControllerWorker::class.java)
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Consensus.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Consensus.kt
@@ -91,6 +91,9 @@
         val leader: ProcessName?,
     ) : ConsensusOutput()
 
+    /** This replica stopped leading because of [cause]. */
+    data class LeadershipLost(val cause: LeadershipLoss) : ConsensusOutput()
+
     /** The state machine was restored from a snapshot of the entries up to [index]. */
     data class SnapshotInstalled(val index: Long) : ConsensusOutput()
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -88,6 +88,17 @@
         return maxOf(peer.lastContact ?: peer.addedAt, peer.addedAt)
     }
 
+    /** What is known about the other members at [now], to explain a loss of the leadership. */
+    fun contacts(now: ComparableTimeMark): List<PeerContact> = peers.map { (process, peer) ->
+        PeerContact(
+            process,
+            peer.lastContact?.let { now - it },
+            peer.requestSentAt?.let { now - it },
+            peer.resentRequests,
+            peer.resentBytes,
+        )
+    }
+
     fun receive(sender: ProcessName, reply: HeartbeatReply) {
         val peer = peers[sender] ?: return
         if (reply.tag != peerTag(state.cluster, peer.identity, state.term)) return
@@ -129,7 +140,8 @@
             }
             val message = nextChunk(peer) ?: nextEntries(peer) ?: return@forEach
             peer.requestSentAt = now
-            state.send(process, message)
+            val bytes = state.send(process, message)
+            if (sentAt != null) peer.recordResend(bytes)
         }
     }
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/PeerProgress.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/PeerProgress.kt
@@ -17,6 +17,14 @@
     /** Sending time of the unanswered request, or null if there is none. */
     var requestSentAt: ComparableTimeMark? = null
 
+    /** Requests that were sent again because no answer came in time. */
+    var resentRequests: Int = 0
+        private set
+
+    /** Encoded size in bytes of the requests in [resentRequests]. */
+    var resentBytes: Long = 0
+        private set
+
     /** The snapshot transfer in progress, if the log no longer holds the next entry. */
     var transfer: SnapshotTransfer? = null
 
@@ -26,6 +34,11 @@
         if (last == null || last < roundTime) lastContact = roundTime
     }
 
+    fun recordResend(bytes: Int) {
+        resentRequests += 1
+        resentBytes += bytes
+    }
+
     fun recordMatch(index: Long) {
         matchIndex = maxOf(matchIndex, index)
         nextIndex = maxOf(nextIndex, index + 1)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicaState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicaState.kt
@@ -74,8 +74,11 @@
         if (commitIndex > hardState.committed) update(hardState.copy(committed = commitIndex))
     }
 
-    fun send(receiver: ProcessName, message: ConsensusMessage) {
-        outbox.add(ConsensusOutput.Send(receiver, message.encode()))
+    /** Adds [message] to the outputs; returns its size in bytes. */
+    fun send(receiver: ProcessName, message: ConsensusMessage): Int {
+        val encoded = message.encode()
+        outbox.add(ConsensusOutput.Send(receiver, encoded))
+        return encoded.bytes.size
     }
 
     fun resetTo(snapshot: Snapshot) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -118,7 +118,9 @@
         val current = leadership
         if (current != null) {
             current.tick(now)
-            if (current.hasLostMajority(now)) stepDown(now)
+            if (current.hasLostMajority(now)) {
+                stepDown(LeadershipLoss.MajorityLost(current.contacts(now)), now)
+            }
         } else if (state.isVoter && timer.isDue(now)) {
             leader = null
             if (campaign.start(now)) becomeLeader(now)
@@ -264,7 +266,7 @@
             state.enterTerm(term)
             this.leader = null
         }
-        if (leadership != null) stepDown(now)
+        if (leadership != null) stepDown(LeadershipLoss.TermEnded(term), now)
         campaign.end()
         if (leader != null) this.leader = leader
     }
@@ -273,7 +275,8 @@
      * Ends the leadership. This replica grants no vote for an election timeout after the last
      * contact with a majority, since a lease that starts then relies on it.
      */
-    private fun stepDown(now: ComparableTimeMark) {
+    private fun stepDown(cause: LeadershipLoss, now: ComparableTimeMark) {
+        state.outbox.add(ConsensusOutput.LeadershipLost(cause))
         leadership?.majorityContact?.let(timer::recordMajorityContact)
         leadership = null
         leader = null
@@ -282,7 +285,7 @@
 
     private fun stepDownIfRemoved(now: ComparableTimeMark) {
         if (leadership == null || state.membership.contains(state.name, state.identity)) return
-        if (state.log.membershipIndex <= state.commitIndex) stepDown(now)
+        if (state.log.membershipIndex <= state.commitIndex) stepDown(LeadershipLoss.Removed, now)
     }
 
     private fun installSnapshot() {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
@@ -146,7 +146,11 @@
                     network.send(Link(replica.name, output.receiver), output.message, now)
 
                 is ConsensusOutput.Applied -> completePending(replica, output)
-                is ConsensusOutput.LeadershipChanged, is ConsensusOutput.SnapshotInstalled -> Unit
+
+                is ConsensusOutput.LeadershipChanged,
+                is ConsensusOutput.LeadershipLost,
+                is ConsensusOutput.SnapshotInstalled,
+                -> Unit
             }
         }
     }
