Do not depose a leader for its own delay

Cause: a leader stepped down when the latest round that a majority had answered was an election timeout old. After its own thread had been busy for that long, with a large change, or the machine had not run it, no newer round had been sent at all, so nobody could have answered one. It stepped down in the first tick after the delay, and the change in progress was left unconfirmed. Class: a timeout that takes the observer's own delay for the silence of others.

Change: the leader counts the time in which it ran, at most a heartbeat interval a tick, since the last answered round. Without a delay of its own that is the same time as before. What relies on the majority's contact (reads, leases, votes) still uses its wall time and is unchanged.

Ruled out: a longer election timeout, which would hide the fault and make every failover slower.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.consensus
 
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.Payload
 
@@ -17,6 +18,9 @@
     private val rounds = ArrayDeque<Round>()
     private var lastTick = electedAt
 
+    /** Time since the election, without the time in which this leader was itself delayed. */
+    private var runningTime = Duration.ZERO
+
     /** Index of the entry that has to be applied before the state is known to be up to date. */
     val noOperationIndex: Long = state.log.lastIndex + 1
 
@@ -44,6 +48,7 @@
 
     /** Sends heartbeats in a new round if [now] is at least an interval after the last round. */
     fun tick(now: ComparableTimeMark) {
+        runningTime += minOf(now - lastTick, state.settings.heartbeatInterval)
         lastTick = now
         if (now - rounds.last().sentAt < state.settings.heartbeatInterval) return
         startRound(now)
@@ -55,10 +60,14 @@
         }
     }
 
-    /** Whether a majority has not answered for an election timeout. */
-    fun hasLostMajority(now: ComparableTimeMark): Boolean {
+    /**
+     * Whether a majority has not answered for an election timeout. A delay of this leader itself
+     * does not count: it sent no heartbeats meanwhile that could have been answered.
+     */
+    fun hasLostMajority(): Boolean {
         val contact = majorityContact?.let { maxOf(it, electedAt) } ?: electedAt
-        return now - contact > state.settings.electionTimeout
+        val answered = rounds.lastOrNull { it.sentAt <= contact }?.runningTime ?: Duration.ZERO
+        return runningTime - answered > state.settings.electionTimeout
     }
 
     /**
@@ -174,7 +183,7 @@
 
     private fun startRound(now: ComparableTimeMark) {
         trackPeers()
-        rounds.addLast(Round((rounds.lastOrNull()?.number ?: 0) + 1, now))
+        rounds.addLast(Round((rounds.lastOrNull()?.number ?: 0) + 1, now, runningTime))
         if (rounds.size > RETAINED_ROUNDS) rounds.removeFirst()
     }
 
@@ -219,7 +228,11 @@
         )
     }
 
-    private data class Round(val number: Long, val sentAt: ComparableTimeMark)
+    private data class Round(
+        val number: Long,
+        val sentAt: ComparableTimeMark,
+        val runningTime: Duration,
+    )
 
     private companion object {
         /** Heartbeat intervals after which an unanswered request is sent again. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -118,7 +118,7 @@
         val current = leadership
         if (current != null) {
             current.tick(now)
-            if (current.hasLostMajority(now)) {
+            if (current.hasLostMajority()) {
                 stepDown(LeadershipLoss.MajorityLost(current.contacts(now)), now)
             }
         } else if (state.isVoter && timer.isDue(now)) {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
@@ -116,6 +116,40 @@
         }
     }
 
+    @Nested
+    inner class DelayedLeaders {
+        private fun lead(): ReplicatedLog = open().apply {
+            startElection()
+            receive(1, preVote(identity = 2))
+            receive(1, vote(identity = 2))
+        }
+
+        /** Lets [milliseconds] pass with a tick every 20 ms. */
+        private fun ReplicatedLog.run(milliseconds: Int) = repeat(milliseconds / 20) {
+            time += 20.milliseconds
+            tick(time.markNow())
+            sent()
+        }
+
+        @Test
+        fun `do not take their own delay for silence of the majority`() {
+            val log = lead()
+            time += 2_000.milliseconds
+            log.tick(time.markNow())
+            assertEquals(ConsensusRole.LEADER, log.role)
+        }
+
+        @Test
+        fun `step down if nobody answers for an election timeout after a delay`() {
+            val log = lead()
+            time += 2_000.milliseconds
+            log.run(440)
+            assertEquals(ConsensusRole.LEADER, log.role)
+            log.run(200)
+            assertEquals(ConsensusRole.FOLLOWER, log.role)
+        }
+    }
+
     @Nested
     inner class Commits {
         private fun lead(): ReplicatedLog = open().apply {
