Send a large entry again only when it is lost

Cause: a request without an answer was sent again as a whole after two heartbeat intervals (200 ms), also when it was still on its way. A configuration of 1,800 routes is 0.9 MB in the log; four copies take 290 ms on 100 Mbit/s. The copies delayed heartbeats and their answers, so the majority seemed silent, and the next leader did the same. A member that does not answer at all, such as a frozen one, got a copy every 200 ms. Class: a retry that ignores whether the first try is under way, and so adds load where there is too much.

Change: a request is sent again when the member has answered a heartbeat that was sent later, since messages of a link arrive in order; to a member that answers nothing, after an election timeout, which doubles up to eight.

Test: SimulatedNetwork limits the rates at which processes transmit and handle bytes.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -138,19 +138,18 @@
         peer.recordMatch(transfer.index)
     }
 
-    /** Sends missing entries or snapshot chunks to each member without a request in flight. */
+    /** Sends missing entries or snapshot chunks to each member that is not to be waited for. */
     fun replicate(now: ComparableTimeMark) {
         peers.forEach { (process, peer) ->
-            val sentAt = peer.requestSentAt
-            val timeout = state.settings.heartbeatInterval * RESEND_INTERVALS
-            if (sentAt != null && now - sentAt < timeout) return@forEach
+            if (!peer.maySend(now, state.settings)) return@forEach
+            val isResend = peer.requestSentAt != null
             if (peer.transfer == null && peer.nextIndex <= state.log.baseIndex) {
                 peer.transfer = loadSnapshot()
             }
             val message = nextChunk(peer) ?: nextEntries(peer) ?: return@forEach
             peer.requestSentAt = now
             val bytes = state.send(process, message)
-            if (sentAt != null) peer.recordResend(bytes)
+            if (isResend) peer.recordResend(bytes)
         }
     }
 
@@ -235,9 +234,6 @@
     )
 
     private companion object {
-        /** Heartbeat intervals after which an unanswered request is sent again. */
-        const val RESEND_INTERVALS = 2
-
         /** Replies to older rounds cannot matter: a leader without newer ones has stepped down. */
         const val RETAINED_ROUNDS = 64
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/PeerProgress.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/PeerProgress.kt
@@ -17,6 +17,9 @@
     /** Sending time of the unanswered request, or null if there is none. */
     var requestSentAt: ComparableTimeMark? = null
 
+    /** Requests sent again in a row to a member that has answered nothing since the first one. */
+    private var silentResends: Int = 0
+
     /** Requests that were sent again because no answer came in time. */
     var resentRequests: Int = 0
         private set
@@ -30,11 +33,30 @@
 
     fun recordContact(roundTime: ComparableTimeMark?) {
         if (roundTime == null) return
+        silentResends = 0
         val last = lastContact
         if (last == null || last < roundTime) lastContact = roundTime
     }
 
+    /**
+     * Whether a request may be sent: none is open, or the open one is due again. If the member has
+     * answered a later heartbeat, the open one is lost. Otherwise it may still be on its way, so
+     * the wait doubles with each resend.
+     */
+    fun maySend(now: ComparableTimeMark, settings: ReplicatedLogSettings): Boolean {
+        val sentAt = requestSentAt ?: return true
+        val contact = lastContact
+        val isLost = contact != null && contact > sentAt
+        val wait = if (isLost) {
+            settings.heartbeatInterval * RESEND_INTERVALS
+        } else {
+            settings.electionTimeout * (1 shl minOf(silentResends, MAXIMUM_DOUBLINGS))
+        }
+        return now - sentAt >= wait
+    }
+
     fun recordResend(bytes: Int) {
+        silentResends += 1
         resentRequests += 1
         resentBytes += bytes
     }
@@ -43,6 +65,14 @@
         matchIndex = maxOf(matchIndex, index)
         nextIndex = maxOf(nextIndex, index + 1)
     }
+
+    private companion object {
+        /** Heartbeat intervals after which an unanswered request is sent again at the earliest. */
+        const val RESEND_INTERVALS = 2
+
+        /** Limits the wait to eight election timeouts. */
+        const val MAXIMUM_DOUBLINGS = 3
+    }
 }
 
 /** An encoded snapshot that is being sent to a member, which has received [received] bytes. */
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/KeyValueMachine.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/KeyValueMachine.kt
@@ -4,7 +4,8 @@
 
 /** A command on a register: a write stores its own identifier, a read returns what is stored. */
 data class RegisterCommand(val identifier: Int, val register: Int, val isWrite: Boolean) {
-    fun encode(): Payload = Payload.of("$identifier $register $isWrite")
+    /** Encodes the command, padded to [size] bytes at least. */
+    fun encode(size: Int = 0): Payload = Payload.of("$identifier $register $isWrite ".padEnd(size))
 
     companion object {
         fun decode(payload: Payload): RegisterCommand {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogTest.kt
@@ -146,6 +146,38 @@
         }
     }
 
+    @Nested
+    inner class LargeEntries {
+        private val rate = 12_500L
+
+        private fun commitUnderOneLeader(size: Int, slowDown: SimulatedNetwork.() -> Unit) {
+            val simulation = simulation(size = 5, proposals = 0.0)
+            simulation.runUntilReady()
+            val leader = assertNotNull(simulation.leader)
+            val term = leader.log?.term
+            simulation.network.slowDown()
+            repeat(5) {
+                val index = assertNotNull(simulation.propose(leader, size))
+                simulation.runUntil(5_000, "the entry is committed") {
+                    simulation.checker.newestAcknowledged >= index
+                }
+            }
+            simulation.run(1_000)
+            assertEquals(leader, simulation.leader)
+            assertEquals(term, simulation.leader?.log?.term)
+        }
+
+        @Test
+        fun `do not depose a leader on a slow link`() {
+            commitUnderOneLeader(1_000_000) { transmitRate = rate }
+        }
+
+        @Test
+        fun `do not depose a leader of slow followers`() {
+            commitUnderOneLeader(1_000_000) { handlingRate = rate / 4 }
+        }
+    }
+
     @Nested
     inner class MembershipChanges {
         @Test
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedNetwork.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedNetwork.kt
@@ -12,7 +12,8 @@
 data class Delivery(val link: Link, val message: Payload, val arrival: Long, val number: Long)
 
 /**
- * Loses, delays, reorders and duplicates messages and blocks links, as configured by its fields.
+ * Loses, delays, reorders and duplicates messages, limits the rates at which they are transmitted
+ * and handled, and blocks links, as configured by its fields.
  */
 class SimulatedNetwork(private val random: Random) {
     private val queue = PriorityQueue<Delivery>(compareBy({ it.arrival }, { it.number }))
@@ -22,6 +23,14 @@
     var duplicateProbability = 0.0
     var longDelayProbability = 0.0
 
+    /** Bytes that each process transmits per millisecond, in order; unlimited if null. */
+    var transmitRate: Long? = null
+
+    /** Bytes that each process handles per millisecond, in order; unlimited if null. */
+    var handlingRate: Long? = null
+    private val transmitsUntil = mutableMapOf<ProcessName, Long>()
+    private val handlesUntil = mutableMapOf<ProcessName, Long>()
+
     /** Bytes sent and received by each process so far, including frame overhead. */
     val traffic = mutableMapOf<ProcessName, Long>()
     var largestMessage = 0
@@ -34,7 +43,25 @@
         }
         if (random.nextDouble() < lossProbability) return
         val copies = if (random.nextDouble() < duplicateProbability) 2 else 1
-        repeat(copies) { queue.add(Delivery(link, message, now + delay(), number++)) }
+        repeat(copies) {
+            val transmitted = transmitsUntil.occupy(link.sender, now, size, transmitRate)
+            val arrival = transmitted + delay()
+            val handled = handlesUntil.occupy(link.receiver, arrival, size, handlingRate)
+            queue.add(Delivery(link, message, handled, number++))
+        }
+    }
+
+    /** Occupies [process] for [size] bytes once it is free; returns when it is done with them. */
+    private fun MutableMap<ProcessName, Long>.occupy(
+        process: ProcessName,
+        from: Long,
+        size: Int,
+        rate: Long?,
+    ): Long {
+        if (rate == null) return from
+        val end = maxOf(from, this[process] ?: 0) + size / rate
+        this[process] = end
+        return end
     }
 
     /** Removes and returns messages that arrive by [now]; those on blocked links are dropped. */
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
@@ -107,10 +107,11 @@
         checkOutcome()
     }
 
-    fun propose(replica: SimulatedReplica): Long? {
+    /** Proposes a command of [size] bytes at least; returns its index if it was accepted. */
+    fun propose(replica: SimulatedReplica, size: Int = 0): Long? {
         val log = replica.log ?: return null
         val command = RegisterCommand(nextIdentifier, random.nextInt(3), random.nextBoolean())
-        val result = log.propose(command.encode(), time.markNow())
+        val result = log.propose(command.encode(size), time.markNow())
         if (result !is ProposalResult.Accepted) return null
         nextIdentifier++
         val newest = checker.newestAcknowledged
