Let a new leader announce routing instead of sending it to every entry

After one election often came the next, and changes stayed unconfirmed.

Cause: a new leader did not know what entries had from its predecessor, took them to be where they were when they subscribed, and sent everything since to each of them, on the thread that keeps its leadership. Class: work for each subscriber on the thread whose delay costs the leadership.

Change: a new leader announces its revision; entries that are behind request it, as they do already. Differences are computed once for a base revision.

Test: EntryFeedTest 'of an earlier leader is announced by a new one and sent only on request' and 'is sent by the leader as one difference for all entries' failed before ([1, 1, 1] changes where none was asked for; 3 objects where 1 was expected) and pass now.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -38,7 +38,9 @@
     private var loadSentAt = time.markNow()
 
     private val history = LinkedHashMap<Long, RoutingConfiguration?>()
+    private val changes = HashMap<Long, RoutingChange>()
     private var announcedRevision = 0L
+    private var wasLeading = false
 
     fun subscribe(session: PeerSession, request: RoutingRequest) {
         val isNew = session !in subscribers
@@ -72,6 +74,8 @@
     fun advance() {
         recordRevision()
         val revision = state.routing.revision
+        if (isLeading() && !wasLeading) takeOver(revision)
+        wasLeading = isLeading()
         // Followers only announce the revision. Entries request it from them if the leader is slow.
         if (isLeading()) {
             subscribers.values.forEach { if (it.sentRevision < revision) it.push(it.sentRevision) }
@@ -89,9 +93,19 @@
         }
     }
 
+    /**
+     * Announces [revision] to all entries. Most have it from the leader before, so it is sent only
+     * to those that request it.
+     */
+    private fun takeOver(revision: Long) {
+        subscribers.values.forEach { it.sentRevision = maxOf(it.sentRevision, revision) }
+        announcedRevision = 0
+    }
+
     private fun recordRevision() {
         val routing = state.routing
         if (routing.revision in history) return
+        changes.clear()
         history[routing.revision] = routing.configuration
         if (history.size > MAXIMUM_REVISIONS) history.remove(history.keys.first())
     }
@@ -143,11 +157,13 @@
         }
 
         private fun change(known: Long): ControlMessage? {
+            changes[known]?.let { return it }
             val routing = state.routing
             val base = history[known] ?: return null
             val next = routing.configuration ?: return null
             val difference = if (base == next) null else RoutingDifference.between(base, next)
             return RoutingChange(known, routing.revision, difference, routing.drained)
+                .also { changes[known] = it }
         }
 
         fun withoutOwn(totals: Map<TargetName, TargetUse>): List<TargetUse> = totals.values
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
@@ -5,8 +5,12 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
+import org.hibiscusproxy.control.ControlCodec
 import org.hibiscusproxy.control.ControlState
+import org.hibiscusproxy.control.FleetInstant
+import org.hibiscusproxy.control.PublishRouting
 import org.hibiscusproxy.forwarding.PromptPart
+import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.TargetName
@@ -14,8 +18,12 @@
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.Incarnation
+import org.hibiscusproxy.protocol.Payload
 import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.protocol.RoutingChange
+import org.hibiscusproxy.protocol.RoutingCurrent
 import org.hibiscusproxy.protocol.RoutingRequest
+import org.hibiscusproxy.protocol.RoutingUpdate
 import org.hibiscusproxy.protocol.SentPrompt
 import org.hibiscusproxy.protocol.TargetUse
 import org.junit.jupiter.api.Nested
@@ -23,7 +31,9 @@
 /** Guards against lost, repeated or misdirected loads and prompts. */
 class EntryFeedTest {
     private val time = TestTimeSource()
-    private val feed = EntryFeed(ControlState(), time, { true }, { emptyList() })
+    private val state = ControlState()
+    private var isLeading = true
+    private val feed = EntryFeed(state, time, { isLeading }, { emptyList() })
 
     /** Records the messages sent to an entry. */
     private class Entry(name: String) : PeerSession {
@@ -38,6 +48,9 @@
 
         val loads: List<FleetLoad> get() = received.filterIsInstance<FleetLoad>()
         val prompts: List<SentPrompt> get() = loads.flatMap { it.prompts }
+        val changes: List<PeerMessage>
+            get() = received.filter { it is RoutingUpdate || it is RoutingChange }
+        val announcements: List<RoutingCurrent> get() = received.filterIsInstance<RoutingCurrent>()
     }
 
     private val entries = List(3) { Entry("entry-$it") }
@@ -51,6 +64,38 @@
         feed.advance()
     }
 
+    private fun publish(version: Long) {
+        val command = PublishRouting(RoutingConfiguration(version), Payload.EMPTY, FleetInstant(0))
+        state.apply(version, ControlCodec.encode(command))
+    }
+
+    @Nested
+    inner class Routing {
+        @Test
+        fun `of an earlier leader is announced by a new one and sent only on request`() {
+            isLeading = false
+            publish(1)
+            feed.advance()
+            isLeading = true
+            feed.advance()
+            assertEquals(listOf(0, 0, 0), entries.map { it.changes.size })
+            assertEquals(RoutingCurrent(1, true, emptyList()), entries[0].announcements.last())
+            feed.subscribe(entries[0], RoutingRequest(0))
+            assertEquals(listOf(1, 0, 0), entries.map { it.changes.size })
+        }
+
+        @Test
+        fun `is sent by the leader as one difference for all entries`() {
+            feed.advance()
+            publish(1)
+            feed.advance()
+            publish(2)
+            feed.advance()
+            assertEquals(listOf(2, 2, 2), entries.map { it.changes.size })
+            assertEquals(1, entries.map { System.identityHashCode(it.changes[1]) }.toSet().size)
+        }
+    }
+
     @Nested
     inner class SentPrompts {
         @Test
