Request a change that did not arrive from one controller only

Cause: the leader sends each change to every entry, and all controllers announce the new revision. An entry that had not applied the change yet requested it from each controller that announced it: on instances with slow processors and links a change was sent up to five times, when it was hardest to handle. Class: a retry that ignores whether the first try is under way, as with large entries of the log.

Change: RoutingRequestLimiter. A change is requested if it has not arrived 600 ms (two announcements) after it was announced, from one controller; at once from a new leader, which has not sent what its predecessor may have failed to send, and from all while no routing is known.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -5,6 +5,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -42,8 +43,10 @@
     private val scope: CoroutineScope,
     private val knownRevision: () -> Long,
     private val onMessage: (PeerMessage) -> Unit,
+    time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     private val subscriptions = ConcurrentHashMap<ProcessName, Subscription>()
+    private val requests = RoutingRequestLimiter(time)
 
     fun start() = initialControllers.forEach(::follow)
 
@@ -111,10 +114,13 @@
 
         private suspend fun handle(newConnection: PeerConnection, message: PeerMessage) {
             if (message is RoutingCurrent) {
+                val isNewLeader = message.isLeading && !isLeading
                 isLeading = message.isLeading
                 follow(message.controllers)
                 val known = knownRevision()
-                if (message.revision > known) newConnection.send(RoutingRequest(known))
+                if (requests.mayRequest(message.revision, known, isNewLeader)) {
+                    newConnection.send(RoutingRequest(known))
+                }
             }
             when (message) {
                 is RoutingUpdate, is RoutingChange, is TargetList, is FleetLoad ->
