--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -207,8 +207,9 @@
     }
 
     private fun PeerContact.describe(): String {
+        val silent = silence?.let { "silent for ${it.inWholeMilliseconds} ms" } ?: "never answered"
         val request = outstanding?.let { "request open for ${it.inWholeMilliseconds} ms" }
-        return "$process silent for ${silence?.inWholeMilliseconds} ms, ${request ?: "no request"}, " +
+        return "$process $silent, ${request ?: "no open request"}, " +
             "$resentRequests resent with $resentBytes bytes"
     }
 
