Time operators' calls where the routing is controlled, not in the platform module

The line is now written by WorkerRoutingControl, with operation, outcome and duration, and the module is as before. PlatformBoundaryTest and OperatorInterfaceTest pass.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/WorkerRoutingControl.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/WorkerRoutingControl.kt
@@ -1,12 +1,18 @@
 package org.hibiscusproxy.daemon.controller
 
 import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration
+import kotlin.time.TimeSource
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.protocol.Payload
+import org.slf4j.LoggerFactory
 
 /** Queues routing calls for the worker that owns the replica. */
-internal class WorkerRoutingControl(private val worker: ControllerWorker) : RoutingControl {
+internal class WorkerRoutingControl(
+    private val worker: ControllerWorker,
+    private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) : RoutingControl {
     override fun publish(
         configuration: RoutingConfiguration,
         document: Payload,
@@ -21,8 +27,30 @@
 
     private fun submit(call: RoutingCall): CompletableFuture<RoutingReply> {
         val reply = CompletableFuture<RoutingReply>()
+        val receivedAt = time.markNow()
+        reply.thenAccept { log(call, it, receivedAt.elapsedNow()) }
         val isQueued = worker.trySubmit(ControllerInput.Routing(call, reply))
         if (!isQueued) reply.complete(RoutingReply.NotLeader(null))
         return reply
     }
+
+    private fun log(call: RoutingCall, reply: RoutingReply, duration: Duration) {
+        val operation = when (call) {
+            is RoutingCall.Publish -> "version ${call.configuration.version}"
+            is RoutingCall.SetDrained -> "drain ${call.dataCenter} ${call.isDrained}"
+            is RoutingCall.Read -> "read"
+        }
+        val outcome = when (reply) {
+            is RoutingReply.Done -> "done"
+            is RoutingReply.Current -> "revision ${reply.state.revision}"
+            is RoutingReply.NotLeader -> "referred to ${reply.leader}"
+            is RoutingReply.Unconfirmed -> "unconfirmed"
+        }
+        val milliseconds = duration.inWholeMilliseconds
+        LOG.info("controller: operators, {}: {} after {} ms", operation, outcome, milliseconds)
+    }
+
+    private companion object {
+        val LOG = LoggerFactory.getLogger(WorkerRoutingControl::class.java)
+    }
 }
