Do not remove a member that is silent only because the leader was delayed

Cause: the age of a member's last answer is compared with the limit for removal (10 s), also when the leader itself did not run meanwhile.

Change: after a delay of more than an election timeout, members count as silent from its end on.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -21,6 +21,9 @@
     /** Time since the election, without the time in which this leader was itself delayed. */
     private var runningTime = Duration.ZERO
 
+    /** End of the last delay of this leader that was longer than an election timeout. */
+    private var resumedAt = electedAt
+
     /** Index of the entry that has to be applied before the state is known to be up to date. */
     val noOperationIndex: Long = state.log.lastIndex + 1
 
@@ -49,6 +52,7 @@
     /** Sends heartbeats in a new round if [now] is at least an interval after the last round. */
     fun tick(now: ComparableTimeMark) {
         runningTime += minOf(now - lastTick, state.settings.heartbeatInterval)
+        if (now - lastTick > state.settings.electionTimeout) resumedAt = now
         lastTick = now
         if (now - rounds.last().sentAt < state.settings.heartbeatInterval) return
         startRound(now)
@@ -91,10 +95,13 @@
         return reachable >= next.majority
     }
 
-    /** When [process] last answered, or was added if it has not; null for this replica. */
+    /**
+     * Since when [process] has not answered although this leader ran: its last answer, or when it
+     * was added or this leader resumed after a delay. Null for this replica.
+     */
     fun lastContact(process: ProcessName): ComparableTimeMark? {
         val peer = peers[process] ?: return null
-        return maxOf(peer.lastContact ?: peer.addedAt, peer.addedAt)
+        return maxOf(peer.lastContact ?: peer.addedAt, peer.addedAt, resumedAt)
     }
 
     /** What is known about the other members at [now], to explain a loss of the leadership. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
@@ -65,7 +65,10 @@
     /** Recently announced identities that are not those of members, by name. */
     val unknownIdentities: Map<ProcessName, Long>
 
-    /** When [process] last answered, or was added if it has not; null for the leader. */
+    /**
+     * Since when [process] has not answered although the leader ran: its last answer, or when it was
+     * added or the leader resumed after a delay. Null for the leader.
+     */
     fun lastContact(process: ProcessName): ComparableTimeMark?
 
     /** Whether the leader would propose [change] now. */
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
@@ -4,6 +4,7 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
@@ -139,6 +140,16 @@
             assertEquals(ConsensusRole.LEADER, log.role)
         }
 
+        @Test
+        fun `do not take a member for silent because of their own delay`() {
+            val log = lead()
+            log.receive(1, HeartbeatReply(3, 1, peerTag(CLUSTER, 2, 3)))
+            time += 20_000.milliseconds
+            log.tick(time.markNow())
+            val view = assertNotNull(log.memberView(time.markNow()))
+            assertEquals(time.markNow(), view.lastContact(names[1]))
+        }
+
         @Test
         fun `step down if nobody answers for an election timeout after a delay`() {
             val log = lead()
