--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -38,6 +38,8 @@
     private var loadSentAt = time.markNow()
 
     private val history = LinkedHashMap<Long, RoutingConfiguration?>()
+
+    /** Changes to the latest revision by base revision, each sent to many entries. */
     private val changes = HashMap<Long, RoutingChange>()
     private var fullUpdate: RoutingUpdate? = null
     private var announcedRevision = 0L
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingRequestLimiter.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingRequestLimiter.kt
@@ -8,7 +8,8 @@
  * itself, so that a request is needed only if that fails. Safe for concurrent use.
  */
 internal class RoutingRequestLimiter(private val time: TimeSource.WithComparableMarks) {
-    private var knownAtStart = 0L
+    /** Known revision that a newer one was announced for, first at [waitingSince]. */
+    private var outdatedRevision = 0L
     private var waitingSince = time.markNow()
 
     /**
@@ -19,9 +20,9 @@
     fun mayRequest(announced: Long, known: Long, newLeader: Boolean): Boolean {
         if (announced <= known) return false
         if (known == 0L) return true
-        val isWaiting = known == knownAtStart
+        val isWaiting = known == outdatedRevision
         if (isWaiting && !newLeader && waitingSince.elapsedNow() < CHANGE_TIMEOUT) return false
-        knownAtStart = known
+        outdatedRevision = known
         waitingSince = time.markNow()
         return isWaiting || newLeader
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -145,7 +145,7 @@
         peer.recordMatch(transfer.index)
     }
 
-    /** Sends missing entries or snapshot chunks to each member that is not to be waited for. */
+    /** Sends missing entries or snapshot chunks to each member that may be sent a request. */
     fun replicate(now: ComparableTimeMark) {
         peers.forEach { (process, peer) ->
             if (!peer.maySend(now, state.settings)) return@forEach
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/LeadershipLoss.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/LeadershipLoss.kt
@@ -1,8 +1,5 @@
 package org.hibiscusproxy.consensus
 
-import kotlin.time.Duration
-import org.hibiscusproxy.model.ProcessName
-
 /** Why a replica stopped leading. */
 sealed class LeadershipLoss {
     /** No majority answered for an election timeout; [peers] has the state of the others. */
@@ -14,20 +11,3 @@
     /** The membership no longer contains this replica. */
     data object Removed : LeadershipLoss()
 }
-
-/**
- * What a leader knows about another member.
- *
- * @property silence time since the member was sent the latest round that it answered; null if it
- *   has answered none
- * @property outstanding time since the unanswered request was sent; null if there is none
- * @property resentRequests requests that were sent again during this term, since no answer came
- * @property resentBytes encoded size of those requests
- */
-data class PeerContact(
-    val process: ProcessName,
-    val silence: Duration?,
-    val outstanding: Duration?,
-    val resentRequests: Int,
-    val resentBytes: Long,
-)
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
@@ -54,6 +54,12 @@
     private fun preVote(identity: Long) = VoteReply(identity, 3, 1, true, isPreVote = true)
     private fun vote(identity: Long) = VoteReply(identity, 3, 1, true, isPreVote = false)
 
+    private fun lead(): ReplicatedLog = open().apply {
+        startElection()
+        receive(1, preVote(identity = 2))
+        receive(1, vote(identity = 2))
+    }
+
     @Nested
     inner class Votes {
         @Test
@@ -119,12 +125,6 @@
 
     @Nested
     inner class DelayedLeaders {
-        private fun lead(): ReplicatedLog = open().apply {
-            startElection()
-            receive(1, preVote(identity = 2))
-            receive(1, vote(identity = 2))
-        }
-
         /** Lets [milliseconds] pass with a tick every 20 ms. */
         private fun ReplicatedLog.run(milliseconds: Int) = repeat(milliseconds / 20) {
             time += 20.milliseconds
@@ -163,12 +163,6 @@
 
     @Nested
     inner class Commits {
-        private fun lead(): ReplicatedLog = open().apply {
-            startElection()
-            receive(1, preVote(identity = 2))
-            receive(1, vote(identity = 2))
-        }
-
         @Test
         fun `entries of an earlier term only together with one of its own`() {
             val log = lead()
