Log how far a failed attempt got and the shared parts of its prompt

event=attempt now has the phase (connecting, waiting, answering), the milliseconds since it began, and the shared parts of the prompt; a connection that cannot be established is logged with its cause. No decision changes.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -209,7 +209,16 @@
         }
         val willRetry = isAllowed && (ended.wasNotSent || acquireRetry())
         val next = if (willRetry) "another-target" else "final-answer"
-        node.log.attemptFailed(metadata.requestIdentifier, ended.target.name.value, cause, next)
+        node.log.attemptFailed(
+            AttemptSummary(
+                metadata.requestIdentifier,
+                ended.target.name.value,
+                cause,
+                next,
+                ended.progress,
+                metadata.prompt?.sharedParts.orEmpty(),
+            ),
+        )
         if (willRetry) {
             events?.discardPartialEvent()
             sendToTarget()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -6,6 +6,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
+import org.hibiscusproxy.forwarding.PromptPart
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -43,14 +44,18 @@
         }
     }
 
-    /** Logs an attempt whose response is not forwarded; [next] says how the request continues. */
-    fun attemptFailed(identifier: String?, target: String, reason: String, next: String) = write {
+    /** Logs an attempt whose response is not forwarded. */
+    fun attemptFailed(summary: AttemptSummary) = write {
         LOG.info(
-            "forwarder: event=attempt id={} target={} reason=\"{}\" next={}",
-            identifier,
-            target,
-            reason,
-            next,
+            "forwarder: event=attempt id={} target={} reason=\"{}\" next={} phase={} " +
+                "milliseconds={} parts={}",
+            summary.identifier,
+            summary.target,
+            summary.reason,
+            summary.next,
+            summary.progress.name,
+            summary.progress.elapsed.inWholeMilliseconds,
+            summary.sharedParts.joinToString(",") { it.identifier },
         )
     }
 
@@ -81,6 +86,21 @@
     }
 }
 
+/**
+ * Log data of a failed attempt.
+ *
+ * @property next how the request continues
+ * @property sharedParts parts of the request's prompt that other requests may share
+ */
+internal class AttemptSummary(
+    val identifier: String?,
+    val target: String,
+    val reason: String,
+    val next: String,
+    val progress: AttemptProgress,
+    val sharedParts: List<PromptPart>,
+)
+
 /** Log data of a completed request. */
 internal class ExchangeSummary(
     val identifier: String?,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import kotlin.time.ComparableTimeMark
 import org.hibiscusproxy.forwarding.AttemptResult
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PlacedAttempt
@@ -30,32 +31,44 @@
     private var responseStatus = 0
     private var isDiscarded = false
     private var isReportedNotExecuted = false
+    private val startedAt = exchange.node.time.markNow()
+    private var sentAt: ComparableTimeMark? = null
+    private var answeredAt: ComparableTimeMark? = null
     private var bufferedHead: HttpResponse? = null
     private var bufferedBody: ByteBuf? = null
 
     /** Whether nothing of the request was written to a connection. */
-    var wasNotSent = true
-        private set
-
-    fun onConnected(newConnection: TargetConnection?) {
-        if (isFinished) {
-            newConnection?.cancel()
-        } else if (newConnection == null) {
-            finish(AttemptResult.UNREACHABLE)
-            exchange.onAttemptFailed(
-                this,
-                FinalReason.TARGET_UNREACHABLE,
-                "connection could not be established",
-                isNotExecuted = true,
-            )
-        } else {
-            send(newConnection)
+    val wasNotSent: Boolean get() = sentAt == null
+
+    /** How far the attempt got. */
+    val progress: AttemptProgress
+        get() {
+            answeredAt?.let { return AttemptProgress.Answering(it.elapsedNow()) }
+            sentAt?.let { return AttemptProgress.Waiting(it.elapsedNow()) }
+            return AttemptProgress.Connecting(startedAt.elapsedNow())
         }
+
+    fun onConnected(result: ConnectResult) = when (result) {
+        is ConnectResult.Connected ->
+            if (isFinished) result.connection.cancel() else send(result.connection)
+
+        is ConnectResult.Failed -> onConnectFailed(result.cause)
+    }
+
+    private fun onConnectFailed(cause: Throwable) {
+        if (isFinished) return
+        finish(AttemptResult.UNREACHABLE)
+        exchange.onAttemptFailed(
+            this,
+            FinalReason.TARGET_UNREACHABLE,
+            "connection could not be established: ${cause.message}",
+            isNotExecuted = true,
+        )
     }
 
     fun send(newConnection: TargetConnection) {
         connection = newConnection
-        wasNotSent = false
+        sentAt = exchange.node.time.markNow()
         newConnection.send(targetRequest(), exchange.metadata.requestIdentifier, this)
     }
 
@@ -123,6 +136,7 @@
         ) {
             return rejectInvalid("response is not signed or is compressed")
         }
+        answeredAt = exchange.node.time.markNow()
         exchange.node.selector.recordFirstPart(placed)
         if (exchange.isHeadSent) {
             if (!isSuccess) rejectInvalid("stream resumption failed with status $responseStatus")
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
@@ -37,8 +37,8 @@
         return null
     }
 
-    /** Opens a connection to [target]; calls [onResult] with null if that fails. */
-    fun connect(target: DiscoveredTarget, onResult: (TargetConnection?) -> Unit) {
+    /** Opens a connection to [target] and passes the outcome to [onResult]. */
+    fun connect(target: DiscoveredTarget, onResult: (ConnectResult) -> Unit) {
         val connection = TargetConnection(wire) { idleOf(target.name).addLast(it) }
         val future = bootstrap.clone()
             .handler(object : ChannelInitializer<SocketChannel>() {
@@ -52,8 +52,10 @@
                 if (it.isSuccess) {
                     openCount += 1
                     it.channel().closeFuture().addListener { openCount -= 1 }
+                    onResult(ConnectResult.Connected(connection))
+                } else {
+                    onResult(ConnectResult.Failed(it.cause()))
                 }
-                onResult(connection.takeIf { _ -> it.isSuccess })
             },
         )
     }
