Break off streams without length or chunks that end inside an event

What callers would see: a stream that an engine ended in the middle of an event, or before its first one, looked complete if it had neither a length nor chunks and its route could not be resumed.

Cause: such an answer ends with its connection, and the end of the connection was taken for the end of the answer. Only resumable routes looked at event boundaries. A part that crashes engines would have been cleared by such answers as well.

Change: EventBoundary follows the last bytes of every stream. A stream that ends inside an event, or with its connection before any event, counts as broken.

Evidence: UnframedStreamTest failed before in two of three cases (ended inside an event, ended before its first event) and passes.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -36,6 +36,7 @@
     private var sentAt: ComparableTimeMark? = null
     private var answeredAt: ComparableTimeMark? = null
     private var endsWithConnection = false
+    private val boundary = EventBoundary()
     private var hasSurvived = false
     private var bufferedHead: HttpResponse? = null
     private var bufferedBody: ByteBuf? = null
@@ -188,6 +189,7 @@
     override fun onContent(content: HttpContent) {
         if (isDiscarded || isFinished) return
         if (!isStartOfAnswer) recordSurvival()
+        boundary.append(content.content())
         bufferedBody?.let {
             it.writeBytes(content.content())
             return
@@ -214,9 +216,7 @@
                 isReportedNotExecuted,
             )
         }
-        if (exchange.events?.hasPartialEvent == true) {
-            return onFailure("stream ended within an event")
-        }
+        if (isStreamInterrupted()) return onFailure("stream ended within an event")
         if (endsWithConnection && isStartOfAnswer) checkForCrash() else recordSurvival()
         val isServerError = responseStatus >= SERVER_ERROR
         finish(if (isServerError) AttemptResult.FAILED else AttemptResult.ANSWERED)
@@ -226,6 +226,16 @@
         exchange.onResponseComplete()
     }
 
+    private fun isStreamInterrupted(): Boolean {
+        if (exchange.events?.hasPartialEvent == true) return true
+        val isStream = exchange.route?.kind == RequestKind.STREAMING
+        if (!isStream || responseStatus !in SUCCESS_STATUSES) return false
+        if (boundary.isWithinEvent) return true
+        // The end of its connection does not tell a stream without events from a target that ended.
+        val hasEvent = boundary.isAfterEvent || exchange.events?.lastIdentifier != null
+        return endsWithConnection && !hasEvent
+    }
+
     override fun onFailure(cause: String) {
         if (isFinished) return
         checkForCrash()
