Read and log the rate of requests that a target states

The header Server-Limit is read from every answer of the addressed target and kept with its state; event=stated-rate is logged when it changes. No decision changes.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.hibiscusproxy.forwarding.PromptPart
+import org.hibiscusproxy.forwarding.StatedRate
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -59,6 +60,11 @@
         )
     }
 
+    /** Logs that [target] states another [rate] than before. */
+    fun statedRateChanged(target: String, rate: StatedRate) = write {
+        LOG.info("forwarder: event=stated-rate target={} rate={}", target, rate)
+    }
+
     private fun write(line: () -> Unit) {
         if (secondStart.elapsedNow() >= 1.seconds) {
             secondStart = timeSource.markNow()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -15,6 +15,7 @@
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PlacedAttempt
 import org.hibiscusproxy.forwarding.RequestKind
+import org.hibiscusproxy.forwarding.StatedRate
 
 /**
  * One attempt to have a target execute a request. It decides which parts of the target's response
@@ -145,6 +146,7 @@
     override fun onHead(response: HttpResponse, metadata: ResponseMetadata) {
         responseStatus = response.status().code()
         metadata.coldDuration?.let { exchange.node.selector.markCold(target.name, it) }
+        recordStatedRate(metadata)
         if (metadata.execution != ExecutionStatus.MAY_HAVE_RUN) {
             isDiscarded = true
             isReportedNotExecuted = true
@@ -176,6 +178,21 @@
         exchange.forwardHead(response)
     }
 
+    private fun recordStatedRate(metadata: ResponseMetadata) {
+        val isStatement = when (metadata.execution) {
+            ExecutionStatus.OTHER_TARGET -> false
+
+            // A target that is full states a rate, but does not withdraw one.
+            ExecutionStatus.NOT_RUN -> metadata.statedRate is StatedRate.Limited
+
+            ExecutionStatus.MAY_HAVE_RUN -> true
+        }
+        val rate = metadata.statedRate
+        if (isStatement && exchange.node.selector.recordStatedRate(target.name, rate)) {
+            exchange.node.log.statedRateChanged(target.name.value, rate)
+        }
+    }
+
     /** Short responses are buffered until complete, so that a truncated one can be retried. */
     private fun isBufferable(response: HttpResponse): Boolean =
         exchange.route?.kind == RequestKind.SAFE &&
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
 import org.hibiscusproxy.forwarding.Prompt
+import org.hibiscusproxy.forwarding.StatedRate
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.model.TeamName
@@ -81,6 +82,7 @@
  * @property isCompressed whether the body is compressed, which no caller requests
  * @property keepAliveTimeout how long the target keeps an idle connection open; null if not stated
  * @property coldDuration how long the target remains cold; null if not stated
+ * @property statedRate rate of requests that the target takes from all forwarders together
  */
 data class ResponseMetadata(
     val requestIdentifier: String?,
@@ -89,4 +91,5 @@
     val isCompressed: Boolean,
     val keepAliveTimeout: Duration?,
     val coldDuration: Duration?,
+    val statedRate: StatedRate,
 )
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -168,6 +168,17 @@
         states[target]?.markCold(remaining, time.markNow())
     }
 
+    /**
+     * Records what [target] said about the rate of requests that it takes. Returns whether that
+     * differs from what it said before.
+     */
+    fun recordStatedRate(target: TargetName, rate: StatedRate): Boolean {
+        val state = states[target] ?: return false
+        val known = state.statedRate
+        state.recordStatedRate(rate)
+        return state.statedRate != known
+    }
+
     /** Whether the platform lists [target] as one that accepts no new requests. */
     fun isLeaving(target: TargetName): Boolean = states[target]?.listed?.isLeaving == true
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
@@ -29,6 +29,10 @@
     val running: Int get() = ownRunning + othersRunning
     val pendingTokens: Long get() = ownPendingTokens + othersPendingTokens
 
+    /** Requests a second that the target takes from all forwarders; null if it states none. */
+    var statedRate: Double? = null
+        private set
+
     private val addedAt = now
 
     /** Whether prompts placed here may still be cached by the engine that had them before. */
@@ -51,6 +55,14 @@
 
     fun takeColdToken() = coldRateLimiter.take()
 
+    fun recordStatedRate(rate: StatedRate) {
+        statedRate = when (rate) {
+            is StatedRate.Limited -> rate.perSecond
+            is StatedRate.Unlimited -> null
+            is StatedRate.Unreadable -> statedRate
+        }
+    }
+
     /** Whether [next] is the same incarnation of the target. */
     fun isSameIncarnation(next: DiscoveredTarget): Boolean = next.service == listed.service &&
         next.address == listed.address &&
