Keep to the rate that a target states for all entries together

Class: a limit that is shared by the whole fleet, while each entry decides alone and the statement reaches only those that the target happens to answer.

Change: each entry has permits for a target that states a rate, at its share of the rate. The share follows the entries' requests for the service, which the leader sums up with the load; permits arise at regular intervals and lapse after a second, so idle entries do not send all at once. Entries tell each other of changed rates through the leader, so that entries that have had no answer yet keep to them as well. A target without a permit is passed over; if none is left, the request is refused at once with the time to the next permit (reason rate-limited). Retries need a permit, too. The newest statement counts; a target withdraws its rate by an answer without one.

Ruled out on the way: learning from own answers only (up to 31 requests where 11 are allowed with 120 entries, first requests of entries that did not know), and shares by requests in progress (68% of the rate used with uneven demand at low load).

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -8,7 +8,9 @@
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.forwarding.RoutingDifference
 import org.hibiscusproxy.forwarding.SentPromptQueue
+import org.hibiscusproxy.forwarding.StatedRateQueue
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.EntryLoad
@@ -17,6 +19,7 @@
 import org.hibiscusproxy.protocol.RoutingCurrent
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.ServiceDemand
 import org.hibiscusproxy.protocol.TargetList
 import org.hibiscusproxy.protocol.TargetUse
 
@@ -67,7 +70,9 @@
         subscriber.uses = load.uses.associateBy { it.target }
         subscriber.reportedAt = time.markNow()
         val others = subscribers.values.filter { it !== subscriber }
+        subscriber.demand = load.demand.associate { it.service to it.perSecond }
         load.prompts.forEach { sent -> others.forEach { it.unsentPrompts.add(sent) } }
+        load.rates.forEach { rate -> others.forEach { it.unsentRates.add(rate) } }
     }
 
     /** Sends [message] to all subscribers. */
@@ -125,7 +130,13 @@
         reporting.forEach { subscriber ->
             subscriber.uses.values.forEach { use -> totals.merge(use.target, use, ::sum) }
         }
-        reporting.forEach { it.send(FleetLoad(reporting.size, it.withoutOwn(totals))) }
+        val demand = HashMap<ServiceName, Double>()
+        reporting.forEach { subscriber ->
+            subscriber.demand.forEach { (service, own) -> demand.merge(service, own, Double::plus) }
+        }
+        reporting.forEach {
+            it.send(FleetLoad(reporting.size, it.withoutOwn(totals), demand = it.othersOf(demand)))
+        }
     }
 
     private fun sum(first: TargetUse, second: TargetUse) = TargetUse(
@@ -141,15 +152,17 @@
         var uses: Map<TargetName, TargetUse> = emptyMap()
         var reportedAt: ComparableTimeMark? = null
         private var sentLoad: FleetLoad? = null
+        var demand: Map<ServiceName, Double> = emptyMap()
         val unsentPrompts = SentPromptQueue()
+        val unsentRates = StatedRateQueue(time)
 
         fun isReporting(now: ComparableTimeMark): Boolean =
             reportedAt.let { it != null && now - it < REPORT_LIFETIME }
 
         fun send(load: FleetLoad) {
-            if (load == sentLoad && unsentPrompts.isEmpty) return
+            if (load == sentLoad && unsentPrompts.isEmpty && unsentRates.isEmpty) return
             sentLoad = load
-            session.send(load.copy(prompts = unsentPrompts.take()))
+            session.send(load.copy(prompts = unsentPrompts.take(), rates = unsentRates.take()))
         }
 
         fun push(known: Long) {
@@ -177,6 +190,12 @@
                 .also { changes[known] = it }
         }
 
+        fun othersOf(demand: Map<ServiceName, Double>): List<ServiceDemand> = demand
+            .map { (service, total) ->
+                ServiceDemand(service, (total - (this.demand[service] ?: 0.0)).coerceAtLeast(0.0))
+            }
+            .sortedBy { it.service.value }
+
         fun withoutOwn(totals: Map<TargetName, TargetUse>): List<TargetUse> = totals.values
             .map { total ->
                 val own = uses[total.target] ?: return@map total
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
@@ -28,6 +28,9 @@
     /** Only cold targets are available, and their rate limit is reached. */
     COLD("cold"),
 
+    /** All available targets get as many requests as they state to take. */
+    RATE_LIMITED("rate-limited"),
+
     /** The request, or a part of its prompt, crashed several targets. */
     CRASHES_TARGETS("crashes-targets"),
 
@@ -53,6 +56,7 @@
             RefusalReason.NO_TARGET -> NO_TARGET
             RefusalReason.OVERLOADED -> OVERLOADED
             RefusalReason.COLD -> COLD
+            RefusalReason.RATE_LIMITED -> RATE_LIMITED
         }
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -112,11 +112,15 @@
     }
 
     /** Updates the load that the other forwarders report. */
-    fun updateFleetLoad(load: FleetLoad) =
-        selector.updateFleetLoad(load.entries, load.uses, load.prompts)
-
-    /** Load and recently sent prompts of this forwarder, to be reported to the others. */
-    fun currentLoad() = EntryLoad(selector.ownUsage(), selector.takeSentPrompts())
+    fun updateFleetLoad(load: FleetLoad) = selector.updateFleetLoad(load)
+
+    /** Load of this forwarder, and what it sent and learned, to be reported to the others. */
+    fun currentLoad() = EntryLoad(
+        selector.ownUsage(),
+        selector.takeSentPrompts(),
+        selector.takeChangedRates(),
+        selector.ownDemand(),
+    )
 
     private companion object {
         val LOG = LoggerFactory.getLogger(ForwardingNode::class.java)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
@@ -66,4 +66,7 @@
 
     /** Every usable target is cold and at its rate limit. */
     COLD,
+
+    /** Every usable target gets as many requests as it states to take. */
+    RATE_LIMITED,
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -11,7 +11,10 @@
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.placement.Hashing
 import org.hibiscusproxy.placement.Rendezvous
+import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.SentPrompt
+import org.hibiscusproxy.protocol.ServiceDemand
+import org.hibiscusproxy.protocol.TargetRate
 import org.hibiscusproxy.protocol.TargetUse
 
 /**
@@ -38,6 +41,8 @@
     private var drained: Set<DataCenterName> = emptySet()
     private val latencies = HashMap<ServiceName, ServiceLatency>()
     private val sentPrompts = SentPromptQueue()
+    private val changedRates = StatedRateQueue(time)
+    private val demand = DemandShares(time)
 
     /** Number of forwarders, including this one, as last reported. */
     var forwarders: Int = ASSUMED_FORWARDERS
@@ -55,7 +60,7 @@
                 state.markCold(target.coldMilliseconds.milliseconds, now)
             } else {
                 val memoryTokens = services[target.service]?.engine?.memoryTokens ?: 0
-                states[target.name] = TargetState(target, now, memoryTokens)
+                states[target.name] = TargetState(target, now, memoryTokens, random)
             }
         }
     }
@@ -66,24 +71,25 @@
         drained = drainedDataCenters
     }
 
-    /** Replaces the load of all other forwarders and records [prompts] that they sent. */
-    fun updateFleetLoad(
-        forwarderCount: Int,
-        uses: List<TargetUse>,
-        prompts: List<SentPrompt> = emptyList(),
-    ) {
-        forwarders = forwarderCount.coerceAtLeast(1)
+    /** Replaces the load of all other forwarders and records what they sent and learned. */
+    fun updateFleetLoad(load: FleetLoad) {
+        forwarders = load.entries.coerceAtLeast(1)
         states.values.forEach {
             it.othersRunning = 0
             it.othersPendingTokens = 0
         }
-        uses.forEach { use ->
+        load.uses.forEach { use ->
             states[use.target]?.let {
                 it.othersRunning = use.running
                 it.othersPendingTokens = use.pendingTokens
             }
         }
-        prompts.forEach { states[it.target]?.prefixCache?.add(it.parts) }
+        demand.updateOthers(load.demand)
+        load.rates.forEach { rate ->
+            val statedAt = time.markNow() - rate.ageMilliseconds.milliseconds
+            states[rate.target]?.recordStatedRate(rate.perSecond, statedAt)
+        }
+        load.prompts.forEach { states[it.target]?.prefixCache?.add(it.parts) }
     }
 
     /** Removes and returns prompts for the next report: those sent to engines without them. */
@@ -99,16 +105,14 @@
     /** Selects a target for [request], or refuses it. */
     fun choose(request: PlacementRequest): PlacementChoice {
         val now = time.markNow()
+        demand.record(request.service)
         val usable = states.values.filter { it.isUsable(request) }
         if (usable.isEmpty()) return refused(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
         val healthy = usable.filter { !it.health.isSuspended(now) }
             .ifEmpty { listOf(earliestAvailable(usable)) }
-        val available = healthy.filter { it.canAccept(now) }
-        if (available.isEmpty()) {
-            val coldTime = healthy.minOf { it.remainingColdTime(now) }
-            val retryAfter = coldTime.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER)
-            return refused(RefusalReason.COLD, retryAfter)
-        }
+        val share = demand.share(request.service, forwarders)
+        val available = healthy.filter { it.canAccept(share, now) }
+        if (available.isEmpty()) return refuseUntilAvailable(healthy, share, now)
         val prompt = request.prompt
         val isEngine = services[request.service]?.engine != null
         return if (prompt != null && isEngine) {
@@ -118,6 +122,18 @@
         }
     }
 
+    private fun refuseUntilAvailable(
+        targets: List<TargetState>,
+        share: Double,
+        now: ComparableTimeMark,
+    ): PlacementChoice {
+        val (next, time) = targets
+            .map { it to maxOf(it.remainingColdTime(now), it.timeToPermit(share)) }
+            .minBy { (_, time) -> time }
+        val reason = if (next.isCold(now)) RefusalReason.COLD else RefusalReason.RATE_LIMITED
+        return refused(reason, time.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER))
+    }
+
     /** Records the start of an attempt at [target]. */
     fun begin(target: TargetName, prompt: Prompt?): PlacedAttempt {
         val state = states[target]
@@ -126,6 +142,7 @@
             state.ownRunning += 1
             state.ownPendingTokens += uncached
             if (state.isCold(time.markNow())) state.takeColdToken()
+            state.takePermit()
             prompt?.let { recordPrompt(it, state) }
         }
         return PlacedAttempt(target, state, uncached, time.markNow())
@@ -175,10 +192,26 @@
     fun recordStatedRate(target: TargetName, rate: StatedRate): Boolean {
         val state = states[target] ?: return false
         val known = state.statedRate
-        state.recordStatedRate(rate)
-        return state.statedRate != known
+        val perSecond = when (rate) {
+            is StatedRate.Limited -> rate.perSecond
+            is StatedRate.Unlimited -> null
+            is StatedRate.Unreadable -> known
+        }
+        state.recordStatedRate(perSecond, time.markNow())
+        if (perSecond == known) return false
+        changedRates.add(TargetRate(target, perSecond, ageMilliseconds = 0))
+        return true
     }
 
+    /** Removes and returns rates for the next report: those that targets changed. */
+    fun takeChangedRates(): List<TargetRate> = changedRates.take()
+
+    /** Requests of this forwarder for services of which a target states a rate. */
+    fun ownDemand(): List<ServiceDemand> = states.values
+        .filter { it.statedRate != null }
+        .mapTo(LinkedHashSet()) { it.listed.service }
+        .map(demand::own)
+
     /** Whether the platform lists [target] as one that accepts no new requests. */
     fun isLeaving(target: TargetName): Boolean = states[target]?.listed?.isLeaving == true
 
@@ -188,7 +221,8 @@
             listed.dataCenter !in drained &&
             listed.name !in request.excluded
 
-    private fun TargetState.canAccept(now: ComparableTimeMark): Boolean {
+    private fun TargetState.canAccept(share: Double, now: ComparableTimeMark): Boolean {
+        if (!canSendAtStatedRate(share, now)) return false
         if (!isCold(now)) return true
         val rate = services[listed.service]?.coldRequestsPerSecond ?: 0.0
         if (rate <= 0.0) return true
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.forwarding
 
+import kotlin.random.Random
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -10,10 +11,12 @@
     var listed: DiscoveredTarget,
     now: ComparableTimeMark,
     memoryTokens: Long,
+    random: Random,
 ) {
     val health = TargetHealth()
     val prefixCache = PrefixCacheEstimate(memoryTokens)
     private val coldRateLimiter = ColdRateLimiter(now)
+    private val statedRateLimiter = StatedRateLimiter(now, random)
     private var coldUntil: ComparableTimeMark = now
 
     /** Requests of this forwarder that are in progress at the target. */
@@ -32,6 +35,7 @@
     /** Requests a second that the target takes from all forwarders; null if it states none. */
     var statedRate: Double? = null
         private set
+    private var rateStatedAt: ComparableTimeMark? = null
 
     private val addedAt = now
 
@@ -55,14 +59,23 @@
 
     fun takeColdToken() = coldRateLimiter.take()
 
-    fun recordStatedRate(rate: StatedRate) {
-        statedRate = when (rate) {
-            is StatedRate.Limited -> rate.perSecond
-            is StatedRate.Unlimited -> null
-            is StatedRate.Unreadable -> statedRate
-        }
+    /** Records a rate stated at [at]; null if none is stated. The newest statement counts. */
+    fun recordStatedRate(perSecond: Double?, at: ComparableTimeMark) {
+        if (rateStatedAt.let { it != null && it > at }) return
+        rateStatedAt = at
+        statedRate = perSecond
     }
 
+    /** Whether the stated rate allows a request, if [share] of it is this forwarder's. */
+    fun canSendAtStatedRate(share: Double, now: ComparableTimeMark): Boolean =
+        statedRate.let { it == null || statedRateLimiter.isAvailable(it * share, now) }
+
+    /** Time until the stated rate allows a request; zero if no rate is stated. */
+    fun timeToPermit(share: Double): Duration =
+        statedRate?.let { statedRateLimiter.timeToPermit(it * share) } ?: Duration.ZERO
+
+    fun takePermit() = statedRateLimiter.take()
+
     /** Whether [next] is the same incarnation of the target. */
     fun isSameIncarnation(next: DiscoveredTarget): Boolean = next.service == listed.service &&
         next.address == listed.address &&
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -8,6 +8,7 @@
 import org.hibiscusproxy.forwarding.RoutingDifference
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
 
 /** Subscribes a forwarder to routing updates, or requests updates that it lacks. */
@@ -69,23 +70,49 @@
     @SerialName("p") val parts: List<PromptPart>,
 )
 
+/**
+ * Rate of requests that [target] states to take from all forwarders together.
+ *
+ * @property perSecond the rate; null if the target states none any more
+ * @property ageMilliseconds time since the target stated it
+ */
+@Serializable
+data class TargetRate(
+    @SerialName("t") val target: TargetName,
+    @SerialName("r") val perSecond: Double?,
+    @SerialName("a") val ageMilliseconds: Long,
+)
+
+/** Requests a second for a service from one forwarder, or from all except the receiver. */
+@Serializable
+data class ServiceDemand(
+    @SerialName("s") val service: ServiceName,
+    @SerialName("r") val perSecond: Double,
+)
+
 /**
  * Requests that a forwarder has in progress, without targets that have none.
  *
  * @property prompts shared parts sent since the last report, to engines that did not have them
  * cached
+ * @property rates rates that targets stated since the last report and that differ from before
+ * @property demand requests for services of which a target states a rate
  */
 @Serializable
 @SerialName("fl")
 data class EntryLoad(
     @SerialName("u") val uses: List<TargetUse>,
     @SerialName("p") val prompts: List<SentPrompt> = emptyList(),
+    @SerialName("r") val rates: List<TargetRate> = emptyList(),
+    @SerialName("d") val demand: List<ServiceDemand> = emptyList(),
 ) : ControlMessage()
 
 /**
  * Sum of the requests that all other forwarders have in progress, and the number of forwarders.
  *
  * @property prompts shared parts that the other forwarders sent since the last message
+ * @property rates rates of targets that the other forwarders learned of since the last message
+ * @property demand sum of the demand of all other forwarders
  */
 @Serializable
 @SerialName("fo")
@@ -93,4 +120,6 @@
     @SerialName("n") val entries: Int,
     @SerialName("u") val uses: List<TargetUse>,
     @SerialName("p") val prompts: List<SentPrompt> = emptyList(),
+    @SerialName("r") val rates: List<TargetRate> = emptyList(),
+    @SerialName("d") val demand: List<ServiceDemand> = emptyList(),
 ) : ControlMessage()
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
@@ -14,6 +14,7 @@
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.TargetUse
 import org.junit.jupiter.api.Nested
 
@@ -137,7 +138,7 @@
             val holder = (1..5).map { TargetName("engines-$it") }.last { it != preferred }
             first.begin(holder, shared)
 
-            second.updateFleetLoad(2, emptyList(), first.takeSentPrompts())
+            second.updateFleetLoad(FleetLoad(2, emptyList(), first.takeSentPrompts()))
 
             val choice = assertIs<PlacementChoice.Chosen>(second.choose(request(prompt = shared)))
             assertEquals(preferred, choice.target.name)
@@ -150,7 +151,7 @@
             val selector = selector(target(1), target(2))
             val prompt = prompt("subject")
             val preferred = selector.chosen(request(prompt = prompt))
-            selector.updateFleetLoad(2, listOf(TargetUse(preferred, 40)))
+            selector.updateFleetLoad(FleetLoad(2, listOf(TargetUse(preferred, 40))))
             assertTrue(selector.chosen(request(prompt = prompt)) != preferred)
         }
     }
@@ -193,7 +194,7 @@
             val selectors = (1..forwarders).map {
                 selector(target(1, coldMilliseconds = 3_000), seed = it)
             }
-            selectors.forEach { it.updateFleetLoad(forwarders, emptyList()) }
+            selectors.forEach { it.updateFleetLoad(FleetLoad(forwarders, emptyList())) }
             val sent = ArrayDeque<kotlin.time.ComparableTimeMark>()
             var maximum = 0
             repeat(290) {
