Let only valid answers withdraw a rate, and let a rate of zero be withdrawn

Found by reading: an unsigned or failed answer without the header lifted a target's rate for as long as the next valid answer took, and a target that states 0 would have got no request any more, so it could never withdraw its rate. Now only signed successes withdraw it, and a target that states next to nothing gets a request every five seconds from all entries together, far below what the users' rule allows. StatedRateSimulationTest 'let a target withdraw a rate of zero' holds.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -146,7 +146,7 @@
     override fun onHead(response: HttpResponse, metadata: ResponseMetadata) {
         responseStatus = response.status().code()
         metadata.coldDuration?.let { exchange.node.selector.markCold(target.name, it) }
-        recordStatedRate(metadata)
+        if (metadata.execution != ExecutionStatus.OTHER_TARGET) recordStatedRate(metadata)
         if (metadata.execution != ExecutionStatus.MAY_HAVE_RUN) {
             isDiscarded = true
             isReportedNotExecuted = true
@@ -178,17 +178,12 @@
         exchange.forwardHead(response)
     }
 
+    /** Only a valid answer withdraws a rate; failures may come without the target's headers. */
     private fun recordStatedRate(metadata: ResponseMetadata) {
-        val isStatement = when (metadata.execution) {
-            ExecutionStatus.OTHER_TARGET -> false
-
-            // A target that is full states a rate, but does not withdraw one.
-            ExecutionStatus.NOT_RUN -> metadata.statedRate is StatedRate.Limited
-
-            ExecutionStatus.MAY_HAVE_RUN -> true
-        }
         val rate = metadata.statedRate
-        if (isStatement && exchange.node.selector.recordStatedRate(target.name, rate)) {
+        val isValid = metadata.isSigned && responseStatus in SUCCESS_STATUSES
+        if (rate is StatedRate.Unlimited && !isValid) return
+        if (exchange.node.selector.recordStatedRate(target.name, rate)) {
             exchange.node.log.statedRateChanged(target.name.value, rate)
         }
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -122,16 +122,17 @@
         }
     }
 
+    /** Refuses a request, because [targets] are cold or have no permit left. */
     private fun refuseUntilAvailable(
         targets: List<TargetState>,
         share: Double,
         now: ComparableTimeMark,
     ): PlacementChoice {
-        val (next, time) = targets
+        val (next, wait) = targets
             .map { it to maxOf(it.remainingColdTime(now), it.timeToPermit(share)) }
-            .minBy { (_, time) -> time }
+            .minBy { (_, wait) -> wait }
         val reason = if (next.isCold(now)) RefusalReason.COLD else RefusalReason.RATE_LIMITED
-        return refused(reason, time.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER))
+        return refused(reason, wait.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER))
     }
 
     /** Records the start of an attempt at [target]. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
@@ -68,14 +68,17 @@
 
     /** Whether the stated rate allows a request, if [share] of it is this forwarder's. */
     fun canSendAtStatedRate(share: Double, now: ComparableTimeMark): Boolean =
-        statedRate.let { it == null || statedRateLimiter.isAvailable(it * share, now) }
+        permitRate(share).let { it == null || statedRateLimiter.isAvailable(it, now) }
 
     /** Time until the stated rate allows a request; zero if no rate is stated. */
     fun timeToPermit(share: Double): Duration =
-        statedRate?.let { statedRateLimiter.timeToPermit(it * share) } ?: Duration.ZERO
+        permitRate(share)?.let(statedRateLimiter::timeToPermit) ?: Duration.ZERO
 
     fun takePermit() = statedRateLimiter.take()
 
+    private fun permitRate(share: Double): Double? =
+        statedRate?.let { maxOf(it, MINIMUM_RATE_PER_SECOND) * share }
+
     /** Whether [next] is the same incarnation of the target. */
     fun isSameIncarnation(next: DiscoveredTarget): Boolean = next.service == listed.service &&
         next.address == listed.address &&
@@ -85,6 +88,9 @@
             )
 
     private companion object {
+        /** A target that gets no request at all could never withdraw its rate. */
+        const val MINIMUM_RATE_PER_SECOND = 0.2
+
         /** Most prompts in use recur within this time. */
         val NEW_DURATION = 20.seconds
     }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/StatedRateSimulationTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/StatedRateSimulationTest.kt
@@ -132,6 +132,18 @@
             assertTrue(sent >= 0.7 * 20 * 10, "$sent requests")
         }
 
+        @Test
+        fun `let a target withdraw a rate of zero`() {
+            val fleet = Fleet(8, seed = 2, demand = 40.0)
+            fleet.rate = StatedRate.Limited(0.0)
+            fleet.play(4.seconds)
+            assertTrue(mostInWindow(fleet.play(12.seconds)) <= allowed(0.0))
+            fleet.rate = StatedRate.Unlimited
+            fleet.play(10.seconds)
+            val sent = fleet.play(4.seconds).size
+            assertTrue(sent > 4 * 40 * 0.9, "$sent requests")
+        }
+
         @Test
         fun `that were idle do not all send at once`() {
             val fleet = Fleet(40, seed = 3, demand = 100.0)
