Do not refuse a part that most requests have before six crashes

Change: a part that more than half of the suspect requests have, of eight or more, needs six crashes. Repeated reports of a forwarder that connects again count once, and evidence is not marked as sent on a connection that was replaced meanwhile.

Open: in an outage of all engines with two causes, bystanders cannot be told from causes in time.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/CrashService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/CrashService.kt
@@ -65,11 +65,7 @@
             sentSuspects = emptySet()
             return
         }
-        if (analysis.unexplained > 0 ||
-            refusals.isNotEmpty()
-        ) {
-            refuseCauses(leader.fleetTime(time.markNow()))
-        }
+        refuseCauses(leader.fleetTime(time.markNow()))
         sendSuspects()
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -72,6 +72,7 @@
             val connection = subscription.connection ?: continue
             if (subscription.sentEvidence >= latest) continue
             val evidence = evidenceAfter(subscription.sentEvidence)
+            if (subscription.connection !== connection) continue
             subscription.sentEvidence = latest
             evidence?.let { connection.send(it) }
         }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
@@ -87,7 +87,7 @@
     ): Set<Fingerprint>? {
         val occasions = evidence.mapValues { occasions(it.value) }
         for ((fingerprint, own) in evidence.entries.sortedByDescending { occasions[it.key] }) {
-            val required = requiredCrashes(fingerprint, refused)
+            val required = requiredCrashes(fingerprint, own, refused)
             if (occasions.getValue(fingerprint) < required) continue
             val isKnown = setOf(fingerprint) in refused
             if (!isKnown && own.first().at.elapsedNow() < ANSWER_REPORT_TIME) continue
@@ -131,13 +131,22 @@
 
     private fun requiredCrashes(
         fingerprint: Fingerprint,
+        own: List<Crash>,
         refused: Collection<Set<Fingerprint>>,
     ): Int = when {
+        isCommon(fingerprint, own) -> CRASHES_OF_COMMON_PART
         setOf(fingerprint) in refused -> CRASHES_OF_KNOWN_CAUSE
         refused.any { fingerprint in it } -> CRASHES_OF_PARTLY_KNOWN_CAUSE
         else -> CRASHES_OF_UNKNOWN_CAUSE
     }
 
+    /** Whether most of the suspects have [fingerprint], so that refusing it would stop the service. */
+    private fun isCommon(fingerprint: Fingerprint, own: List<Crash>): Boolean {
+        val suspects = own.flatMap { it.suspects }
+        val count = suspects.count { fingerprint in it }
+        return suspects.size >= MINIMUM_SUSPECTS_OF_COMMON_PART && count * 2 > suspects.size
+    }
+
     /** The crashes that count against each fingerprint, oldest first. */
     private fun evidence(open: List<Crash>): Map<Fingerprint, List<Crash>> {
         val evidence = LinkedHashMap<Fingerprint, MutableList<Crash>>()
@@ -179,7 +188,7 @@
 
     /** Explained crashes are kept as well, since other forwarders may still report them. */
     private class Crash(val target: TargetName, val at: ComparableTimeMark) {
-        val suspects = ArrayList<Set<Fingerprint>>()
+        val suspects = LinkedHashSet<Set<Fingerprint>>()
         var isExplained = false
 
         val fingerprints: Set<Fingerprint> get() = suspects.flatMapTo(LinkedHashSet()) { it }
@@ -198,6 +207,10 @@
         /** Crashes at different moments from which a suspect is treated as the cause. */
         private const val CRASHES_OF_UNKNOWN_CAUSE = 3
 
+        /** The same for a part that most of the suspects have. */
+        private const val CRASHES_OF_COMMON_PART = 6
+        private const val MINIMUM_SUSPECTS_OF_COMMON_PART = 8
+
         /** The same for one of several fingerprints that could not be told apart. */
         private const val CRASHES_OF_PARTLY_KNOWN_CAUSE = 2
 
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
@@ -106,6 +106,21 @@
             assertEquals(setOf(setOf(cause, base)), analysis.causes())
         }
 
+        @Test
+        fun `are not parts that most requests have before six crashes`() {
+            fun crashOfMany(number: Int) {
+                val bystanders = List(3) { setOf(base, Fingerprint(100L * number + it)) }
+                crash(setOf(base, Fingerprint(100L * number + 50)), *bystanders.toTypedArray())
+                time += 1.seconds
+            }
+            (1..5).forEach(::crashOfMany)
+            settle()
+            assertEquals(emptySet(), analysis.causes())
+            crashOfMany(6)
+            settle()
+            assertEquals(setOf(setOf(base)), analysis.causes())
+        }
+
         @Test
         fun `that were refused before are found again after one crash`() {
             crash(setOf(cause))
