--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
@@ -15,13 +15,19 @@
  * Simulates entries, controllers and engines in virtual time. Some parts of prompts crash each
  * engine that begins to answer them. Meanwhile engines end for other reasons, entries and leaders
  * restart, and entries are cut off.
+ *
+ * @param restartMilliseconds time for which an engine is gone after it ended
  */
-internal class CrashSimulation(seed: Int) {
+internal class CrashSimulation(
+    seed: Int,
+    private val engines: Int = 6,
+    private val restartMilliseconds: IntRange = 1_500..5_000,
+) {
     private val random = Random(seed)
     private val time = TestTimeSource()
     private val startedAt = time.markNow()
     private val events = sortedMapOf<Duration, MutableList<() -> Unit>>()
-    private val targets = List(ENGINES) { Engine(it) }
+    private val targets = List(engines) { Engine(it) }
     private val entries = List(ENTRIES) { Entry() }
     private val controllers = MutableList(CONTROLLERS) { CrashAnalysis(time) }
     private var leader = 0
@@ -101,7 +107,7 @@
         if (parts.none { it in causes }) soundArrivals += SoundArrival(elapsed(), isRefused)
         if (isRefused) return
         val running = targets.filter { it.isRunning }
-        val preferred = targets[(parts.last().value % ENGINES).toInt()]
+        val preferred = targets[(parts.last().value % engines).toInt()]
         val isPreferred = preferred.isRunning && random.nextInt(10) < 7
         val target = if (isPreferred) preferred else running.randomOrNull(random) ?: return
         val isCounted = entry.inTouchFrom <= elapsed()
@@ -262,12 +268,11 @@
                 }
             }
             answers.clear()
-            after(milliseconds(1_500..5_000)) { isRunning = true }
+            after(milliseconds(restartMilliseconds)) { isRunning = true }
         }
     }
 
     private companion object {
-        const val ENGINES = 6
         const val ENTRIES = 8
         const val CONTROLLERS = 3
         const val DATA_CENTERS = 3
