Split the selection of targets by job

Cause: TargetSelector had grown to 400 lines and held four jobs: what is known of targets, the selection among engines, the selection among other targets, and the time after which a refused caller may return.

Change: EngineSelector and LeastLoadedSelector select among the targets that may get a request now, PlacementRefusals states when to come back, PlacedAttempt has a file of its own. No decision, constant or order of random draws changes.

Ruled out: splitting the recording of attempts as well, since it changes the same state that the selection reads.

--- /dev/null
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacedAttempt.kt
@@ -0,0 +1,15 @@
+package org.hibiscusproxy.forwarding
+
+import kotlin.time.ComparableTimeMark
+import org.hibiscusproxy.model.TargetName
+
+/** An attempt that [TargetSelector.begin] recorded. */
+class PlacedAttempt internal constructor(
+    val target: TargetName,
+    internal val state: TargetState?,
+    internal val uncachedTokens: Long,
+    internal val startedAt: ComparableTimeMark,
+) {
+    internal var isAnswered = false
+    internal var isEnded = false
+}
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -4,13 +4,10 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 import kotlin.time.TimeSource
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
-import org.hibiscusproxy.placement.Hashing
-import org.hibiscusproxy.placement.Rendezvous
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.SentPrompt
 import org.hibiscusproxy.protocol.ServiceDemand
@@ -18,21 +15,14 @@
 import org.hibiscusproxy.protocol.TargetUse
 
 /**
- * Selects targets for requests.
- *
- * - Prompts with long shared prefixes go to an engine that has the prefix cached, unless it is much
- *   busier than the others.
- * - Requests to other services go to the less busy of two random targets, so that during a burst
- *   forwarders with the same load information do not all choose the same target.
- * - Requests that the targets cannot finish in time are refused immediately, with the time after
- *   which capacity is likely to be free.
- *
- * Not thread-safe.
+ * Selects targets for requests, and keeps what is known of the targets. Of the targets that may get
+ * a request now, [EngineSelector] selects among model engines and [LeastLoadedSelector] among others.
+ * Requests that the targets cannot finish in time are refused immediately. Not thread-safe.
  *
  * @param loadMultiple maximum requests of an engine, as a multiple of the mean of its service
  */
 class TargetSelector(
-    private val loadMultiple: Double,
+    loadMultiple: Double,
     private val time: TimeSource.WithComparableMarks,
     private val random: Random,
 ) {
@@ -43,6 +33,9 @@
     private val sentPrompts = SentPromptQueue()
     private val changedRates = StatedRateQueue(time)
     private val demand = DemandShares(time)
+    private val refusals = PlacementRefusals(random)
+    private val engines = EngineSelector(loadMultiple, refusals)
+    private val leastLoaded = LeastLoadedSelector(random, refusals)
 
     /** Number of forwarders, including this one, as last reported. */
     var forwarders: Int = ASSUMED_FORWARDERS
@@ -107,7 +100,7 @@
         val now = time.markNow()
         demand.record(request.service)
         val usable = states.values.filter { it.isUsable(request) }
-        if (usable.isEmpty()) return refused(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
+        if (usable.isEmpty()) return refusals.noTarget()
         val healthy = usable.filter { !it.health.isSuspended(now) }
             .ifEmpty { listOf(earliestAvailable(usable)) }
         val share = demand.share(request.service, forwarders)
@@ -115,10 +108,12 @@
         if (available.isEmpty()) return refuseUntilAvailable(healthy, share, now)
         val prompt = request.prompt
         val isEngine = services[request.service]?.engine != null
+        val latency = latency(request.service)
         return if (prompt != null && isEngine) {
-            chooseEngine(request, prompt, available, now)
+            val pool = states.values.filter { it.listed.service == request.service }
+            engines.choose(request, prompt, available, pool, latency, now)
         } else {
-            chooseLeastLoaded(request, available)
+            leastLoaded.choose(request, available, latency)
         }
     }
 
@@ -132,7 +127,7 @@
             .map { it to maxOf(it.remainingColdTime(now), it.timeToPermit(share)) }
             .minBy { (_, wait) -> wait }
         val reason = if (next.isCold(now)) RefusalReason.COLD else RefusalReason.RATE_LIMITED
-        return refused(reason, wait.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER))
+        return refusals.unavailable(reason, wait)
     }
 
     /** Records the start of an attempt at [target]. */
@@ -235,166 +230,10 @@
         compareBy(nullsFirst<ComparableTimeMark>()) { it.health.suspensionEnd() },
     )
 
-    private fun chooseLeastLoaded(
-        request: PlacementRequest,
-        targets: List<TargetState>,
-    ): PlacementChoice {
-        val sampled = listOf(targets.random(random), targets.random(random))
-        var best = sampled.minBy(::relativeLoad)
-        val responseTime = latency(request.service).responseTime
-        if (best.expectedWait(responseTime) + responseTime > request.timeLimit(responseTime)) {
-            best = targets.minBy(::relativeLoad)
-        }
-        val wait = best.expectedWait(responseTime)
-        if (wait + responseTime > request.timeLimit(responseTime)) {
-            val retryAfter = (wait / 2).coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER)
-            return refused(RefusalReason.OVERLOADED, retryAfter)
-        }
-        return PlacementChoice.Chosen(best.listed)
-    }
-
-    /**
-     * Limit for the expected response time. While the objective can still be met, it is the limit,
-     * because late responses delay every request queued behind them.
-     */
-    private fun PlacementRequest.timeLimit(responseTime: Duration): Duration =
-        if (objective > responseTime) minOf(objective, remaining) else remaining
-
-    private fun relativeLoad(state: TargetState): Double {
-        val slots = state.listed.slots.coerceAtLeast(1)
-        return state.running.toDouble() / slots + state.health.failureShare * FAILURE_LOAD
-    }
-
-    private fun TargetState.expectedWait(responseTime: Duration): Duration {
-        val slots = listed.slots.coerceAtLeast(1)
-        val ahead = running - slots + 1
-        return if (ahead <= 0) Duration.ZERO else responseTime * (ahead.toDouble() / slots)
-    }
-
-    private fun chooseEngine(
-        request: PlacementRequest,
-        prompt: Prompt,
-        targets: List<TargetState>,
-        now: ComparableTimeMark,
-    ): PlacementChoice {
-        val bound = loadBound(request.service)
-        val preferred = byPreference(prompt, targets.filter { !it.health.isSuspended(now) })
-        val latency = latency(request.service)
-        val affine = preferred.firstOrNull { state ->
-            state.running + 1 <= bound &&
-                !state.isCold(now) &&
-                state.health.failureShare < MAXIMUM_FAILURE_SHARE &&
-                latency.prefillTime(state.pendingTokens) < request.objective
-        }
-        val best = affine ?: targets.minBy { state ->
-            val cold = if (state.isCold(now)) COLD_COST_TOKENS else 0.0
-            state.pendingTokens + state.prefixCache.uncachedTokens(prompt) + cold +
-                state.running * RUNNING_COST_TOKENS +
-                state.health.failureShare * FAILURE_COST_TOKENS
-        }
-        val uncached = best.prefixCache.uncachedTokens(prompt)
-        val wait = latency.prefillTime(best.pendingTokens + uncached)
-        if (wait > request.remaining) {
-            val retryAfter = (wait / 2).coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER)
-            return refused(RefusalReason.OVERLOADED, retryAfter)
-        }
-        val source = copySource(best, uncached, prompt, preferred)
-        return PlacementChoice.Chosen(best.listed, source?.listed)
-    }
-
-    /**
-     * Returns the engine from which [best] should copy the prompt's prefix, because copying is
-     * faster than prefilling. This is an engine that is known to have the prefix cached, or else
-     * the engine that other forwarders prefer for it, or preferred before [best] was added.
-     */
-    private fun copySource(
-        best: TargetState,
-        uncached: Long,
-        prompt: Prompt,
-        preferred: List<TargetState>,
-    ): TargetState? {
-        val now = time.markNow()
-        val others = states.values.filter {
-            it !== best && it.listed.service == best.listed.service && !it.health.isSuspended(now)
-        }
-        val holder = others.minByOrNull { it.prefixCache.uncachedTokens(prompt) }
-        if (holder != null &&
-            holder.prefixCache.uncachedTokens(prompt) + MINIMUM_COPY_TOKENS <= uncached
-        ) {
-            return holder
-        }
-        if (uncached < MINIMUM_COPY_TOKENS) return null
-        val other = preferred.firstOrNull { it !== best }
-        return other.takeIf { best !== preferred.first() || best.isNew(now) }
-    }
-
-    /** Maximum requests of an engine of [service], with a margin below the configured bound. */
-    private fun loadBound(service: ServiceName): Double {
-        val pool = states.values.filter { it.listed.service == service && !it.listed.isLeaving }
-        val mean = pool.sumOf { it.running }.toDouble() / pool.size.coerceAtLeast(1)
-        return mean * (1 + (loadMultiple - 1) * BOUND_SHARE) + BOUND_OFFSET_REQUESTS
-    }
-
-    /** Sorts engines by rendezvous score of the shared parts, the same at all forwarders. */
-    private fun byPreference(prompt: Prompt, candidates: List<TargetState>): List<TargetState> {
-        val shared = prompt.sharedParts.lastOrNull() ?: prompt.parts.lastOrNull()
-        val hash = Hashing.of(shared?.identifier ?: return emptyList())
-        return candidates
-            .sortedByDescending { Rendezvous.score(hash, it.listed.name, weight = 1.0) }
-    }
-
     private fun latency(service: ServiceName) = latencies.getOrPut(service) { ServiceLatency() }
 
-    private fun refused(reason: RefusalReason, retryAfter: Duration): PlacementChoice {
-        val jitter = 1 + random.nextDouble() * RETRY_AFTER_JITTER
-        return PlacementChoice.Refused(reason, retryAfter * jitter)
-    }
-
     private companion object {
         /** Used until a controller reports the count; high, to limit the load on cold targets. */
         const val ASSUMED_FORWARDERS = 16
-
-        /** Share of the load multiple's excess to use, because counts of others are stale. */
-        const val BOUND_SHARE = 0.8
-
-        /** Requests allowed in addition to the multiple, for services with little load. */
-        const val BOUND_OFFSET_REQUESTS = 3.0
-
-        /** An engine with a higher failure share loses its preference for cached prefixes. */
-        const val MAXIMUM_FAILURE_SHARE = 0.3
-
-        /** Prefill tokens that delay a new prompt as much as one running stream. */
-        const val RUNNING_COST_TOKENS = 100.0
-
-        /** Prefill tokens that are acceptable on another engine to avoid a cold one. */
-        const val COLD_COST_TOKENS = 4_000.0
-
-        /** Prefill tokens equivalent to a failure share of 1. */
-        const val FAILURE_COST_TOKENS = 20_000.0
-
-        /** Relative load equivalent to a failure share of 1, for services without engines. */
-        const val FAILURE_LOAD = 4.0
-
-        /** Copying fewer tokens takes about as long as prefilling them. */
-        const val MINIMUM_COPY_TOKENS = 256L
-
-        /** About the time for which a restarting target or a lagging list leaves no target. */
-        val NO_TARGET_RETRY_AFTER = 500.milliseconds
-        val MINIMUM_RETRY_AFTER = 50.milliseconds
-        val MAXIMUM_RETRY_AFTER = 1_000.milliseconds
-
-        /** Prevents callers that were refused simultaneously from retrying simultaneously. */
-        const val RETRY_AFTER_JITTER = 0.5
     }
 }
-
-/** An attempt that [TargetSelector.begin] recorded. */
-class PlacedAttempt internal constructor(
-    val target: TargetName,
-    internal val state: TargetState?,
-    internal val uncachedTokens: Long,
-    internal val startedAt: ComparableTimeMark,
-) {
-    internal var isAnswered = false
-    internal var isEnded = false
-}
