Log what marks the end of a target's answer

Change: the lines event=request and event=attempt have framing=length, chunks or connection. Ruled out: a line of its own for each such answer, which would double the lines of a busy forwarder.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -50,6 +50,7 @@
     private var timeoutTask: ScheduledFuture<*>? = null
     private var currentAttempt: TargetAttempt? = null
     private var lastTarget: TargetName? = null
+    private var lastFraming: AnswerFraming? = null
     private var attempts = 0
     private var status = 0
     private var isCompleted = false
@@ -224,6 +225,7 @@
                 cause,
                 next,
                 ended.progress,
+                ended.framing,
                 metadata.prompt?.sharedParts.orEmpty(),
             ),
         )
@@ -250,6 +252,7 @@
 
     /** Ends the request after its complete response was forwarded. */
     fun onResponseComplete() {
+        lastFraming = currentAttempt?.framing
         currentAttempt = null
         complete("answered", FinalReason.COMPLETE)
         caller.finish()
@@ -299,6 +302,7 @@
                 status,
                 outcome,
                 reason.text,
+                lastFraming,
                 startedAt.elapsedNow(),
                 revision,
             ),
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -31,7 +31,7 @@
         write {
             LOG.info(
                 "forwarder: event=request id={} route={} target={} attempts={} status={} " +
-                    "outcome={} reason={} milliseconds={} routing={}",
+                    "outcome={} reason={} framing={} milliseconds={} routing={}",
                 summary.identifier,
                 summary.route,
                 summary.target,
@@ -39,6 +39,7 @@
                 summary.status,
                 summary.outcome,
                 summary.reason,
+                summary.framing?.text,
                 summary.duration.inWholeMilliseconds,
                 summary.revision,
             )
@@ -49,13 +50,14 @@
     fun attemptFailed(summary: AttemptSummary) = write {
         LOG.info(
             "forwarder: event=attempt id={} target={} reason=\"{}\" next={} phase={} " +
-                "milliseconds={} parts={}",
+                "milliseconds={} framing={} parts={}",
             summary.identifier,
             summary.target,
             summary.reason,
             summary.next,
             summary.progress.name,
             summary.progress.elapsed.inWholeMilliseconds,
+            summary.framing?.text,
             summary.sharedParts.joinToString(",") { it.identifier },
         )
     }
@@ -96,6 +98,7 @@
  * Log data of a failed attempt.
  *
  * @property next how the request continues
+ * @property framing what marks the end of the target's answer; null if none began
  * @property sharedParts parts of the request's prompt that other requests may share
  */
 internal class AttemptSummary(
@@ -104,10 +107,15 @@
     val reason: String,
     val next: String,
     val progress: AttemptProgress,
+    val framing: AnswerFraming?,
     val sharedParts: List<PromptPart>,
 )
 
-/** Log data of a completed request. */
+/**
+ * Log data of a completed request.
+ *
+ * @property framing what marked the end of the forwarded answer; null without a complete one
+ */
 internal class ExchangeSummary(
     val identifier: String?,
     val route: String?,
@@ -116,6 +124,7 @@
     val status: Int,
     val outcome: String,
     val reason: String,
+    val framing: AnswerFraming?,
     val duration: Duration,
     val revision: Long,
 )
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -36,7 +36,10 @@
     private val startedAt = exchange.node.time.markNow()
     private var sentAt: ComparableTimeMark? = null
     private var answeredAt: ComparableTimeMark? = null
-    private var endsWithConnection = false
+
+    /** What marks the end of the target's answer; null until its head has arrived. */
+    var framing: AnswerFraming? = null
+        private set
     private val boundary = EventBoundary()
     private var hasSurvived = false
     private var bufferedHead: HttpResponse? = null
@@ -159,8 +162,7 @@
             return rejectInvalid("response is not signed or is compressed")
         }
         answeredAt = exchange.node.time.markNow()
-        endsWithConnection = !HttpUtil.isContentLengthSet(response) &&
-            !HttpUtil.isTransferEncodingChunked(response)
+        framing = AnswerFraming.of(response)
         exchange.node.selector.recordFirstPart(placed)
         if (exchange.isHeadSent) {
             if (!isSuccess) rejectInvalid("stream resumption failed with status $responseStatus")
@@ -229,7 +231,13 @@
             )
         }
         if (isStreamInterrupted()) return onFailure("stream ended within an event")
-        if (endsWithConnection && isStartOfAnswer) checkForCrash() else recordSurvival()
+        if (framing == AnswerFraming.CONNECTION &&
+            isStartOfAnswer
+        ) {
+            checkForCrash()
+        } else {
+            recordSurvival()
+        }
         val isServerError = responseStatus >= SERVER_ERROR
         finish(if (isServerError) AttemptResult.FAILED else AttemptResult.ANSWERED)
         bufferedHead?.let(exchange::forwardHead)
@@ -245,7 +253,7 @@
         if (boundary.isWithinEvent) return true
         // The end of its connection does not tell a stream without events from a target that ended.
         val hasEvent = boundary.isAfterEvent || exchange.events?.lastIdentifier != null
-        return endsWithConnection && !hasEvent
+        return framing == AnswerFraming.CONNECTION && !hasEvent
     }
 
     override fun onFailure(cause: String) {
