Judge by its own events whether a target's answer is complete

Cause: whether an answer without length and chunks is complete was judged by the route's kind, the last five bytes and the events of earlier targets, not by this answer. Change: EventBoundary follows the lines of each answer that has events by its type or its route, and knows events from comments and blank lines. Only events of the same answer count. Ruled out: a pause of the caller, a reset and a split of the bytes at any position; these cases of BrokenOffAnswerTest passed before. UnframedStreamTest, ForwardingTest and CrashingPromptPartTest pass.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/EventSplitter.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/EventSplitter.kt
@@ -15,9 +15,6 @@
     var lastIdentifier: String? = null
         private set
 
-    /** Whether the buffer holds bytes of an incomplete event. */
-    val hasPartialEvent: Boolean get() = buffer.isReadable
-
     /** Appends [bytes] and returns the events that are now complete in a new buffer. */
     fun append(bytes: ByteBuf): ByteBuf {
         buffer.writeBytes(bytes)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import kotlin.time.ComparableTimeMark
+import org.hibiscusproxy.daemon.EventBoundary
 import org.hibiscusproxy.forwarding.AttemptResult
 import org.hibiscusproxy.forwarding.CrashAnalysis
 import org.hibiscusproxy.forwarding.DiscoveredTarget
@@ -40,6 +41,7 @@
     /** What marks the end of the target's answer; null until its head has arrived. */
     var framing: AnswerFraming? = null
         private set
+    private var isEventStream = false
     private val boundary = EventBoundary()
     private var hasSurvived = false
     private var bufferedHead: HttpResponse? = null
@@ -163,6 +165,7 @@
         }
         answeredAt = exchange.node.time.markNow()
         framing = AnswerFraming.of(response)
+        isEventStream = isEventStream(response)
         exchange.node.selector.recordFirstPart(placed)
         if (exchange.isHeadSent) {
             if (!isSuccess) rejectInvalid("stream resumption failed with status $responseStatus")
@@ -203,7 +206,7 @@
     override fun onContent(content: HttpContent) {
         if (isDiscarded || isFinished) return
         if (!isStartOfAnswer) recordSurvival()
-        boundary.append(content.content())
+        if (isEventStream) followEvents(content.content())
         bufferedBody?.let {
             it.writeBytes(content.content())
             return
@@ -246,14 +249,26 @@
         exchange.onResponseComplete()
     }
 
-    private fun isStreamInterrupted(): Boolean {
-        if (exchange.events?.hasPartialEvent == true) return true
+    private fun isEventStream(response: HttpResponse): Boolean {
+        val type = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
         val isStream = exchange.route?.kind == RequestKind.STREAMING
-        if (!isStream || responseStatus !in SUCCESS_STATUSES) return false
+        return type.startsWith(EVENT_STREAM, ignoreCase = true) ||
+            isStream && responseStatus in SUCCESS_STATUSES
+    }
+
+    private fun followEvents(bytes: ByteBuf) {
+        bytes.forEachByte {
+            boundary.append(it)
+            true
+        }
+    }
+
+    private fun isStreamInterrupted(): Boolean {
+        if (!isEventStream) return false
         if (boundary.isWithinEvent) return true
         // The end of its connection does not tell a stream without events from a target that ended.
-        val hasEvent = boundary.isAfterEvent || exchange.events?.lastIdentifier != null
-        return framing == AnswerFraming.CONNECTION && !hasEvent
+        val isSuccess = responseStatus in SUCCESS_STATUSES
+        return isSuccess && framing == AnswerFraming.CONNECTION && !boundary.hasEvent
     }
 
     override fun onFailure(cause: String) {
@@ -295,6 +310,7 @@
     private companion object {
         val SUCCESS_STATUSES = 200..299
         const val SERVER_ERROR = 500
+        const val EVENT_STREAM = "text/event-stream"
 
         /** Responses of plain services are smaller; longer responses are streamed. */
         const val MAXIMUM_BUFFERED_BYTES = 65_536L
