Break off streams at the sidecar that end inside an event

What callers would see: an engine's stream that ended with its connection inside an event, or before its first one, looked complete. Cause: the sidecar took the end of the connection for the end of an answer with neither a length nor chunks, as the forwarder did. Change: TargetClient follows the events of answers of that type with EventBoundary and reports such an answer as broken. Ruled out: the entry (AnswerRelay counts chunks and needs the sidecar's ResponseEnd), BodyReader (requests only), the load tool (needs [DONE]). Evidence: InterruptedStreamTest failed before in 2 of 4 cases and passes; SidecarTest and DataPathLossTest pass.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetClient.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetClient.kt
@@ -18,7 +18,7 @@
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
-import okhttp3.ResponseBody
+import org.hibiscusproxy.daemon.EventBoundary
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.Header
 import org.hibiscusproxy.protocol.NotRunReason
@@ -191,15 +191,17 @@
         ) {
             return CallOutcome.EntryDisconnected
         }
-        return relayBody(attempt, response.body)
+        return relayBody(attempt, response)
     }
 
-    private fun relayBody(attempt: SidecarAttempt, body: ResponseBody): CallOutcome {
-        val source = body.source()
+    private fun relayBody(attempt: SidecarAttempt, response: Response): CallOutcome {
+        val source = response.body.source()
+        val boundary = if (response.isEventStream) EventBoundary() else null
         var chunks = 0
         while (source.request(1)) {
             if (chunks == 0) firstByte(attempt)
             val bytes = source.buffer.readByteArray()
+            boundary?.let { bytes.forEach(it::append) }
             val chunk = ResponseChunk(attempt.attempt, chunks++, Payload(bytes))
             if (!runBlocking {
                     attempt.connection.send(chunk)
@@ -214,9 +216,23 @@
                 IOException("call cancelled or deadline passed while the answer was read"),
             )
         }
+        if (boundary != null && response.isInterrupted(boundary)) {
+            return CallOutcome.Broken(IOException("stream ended within an event"))
+        }
         return CallOutcome.Complete(chunks)
     }
 
+    private val Response.isEventStream: Boolean
+        get() = header(CONTENT_TYPE).orEmpty().startsWith(EVENT_STREAM, ignoreCase = true)
+
+    /** Without an event, the end of the connection does not tell a whole stream from a broken one. */
+    private fun Response.isInterrupted(boundary: EventBoundary): Boolean {
+        if (boundary.isWithinEvent) return true
+        val isChunked = header(TRANSFER_ENCODING).equals("chunked", ignoreCase = true)
+        val endsWithConnection = header(CONTENT_LENGTH) == null && !isChunked
+        return isSuccessful && endsWithConnection && !boundary.hasEvent
+    }
+
     /**
      * OkHttp resends a request after a 503 with `Retry-After: 0`, whatever its settings, so the
      * header is renamed until OkHttp has returned the response.
@@ -248,6 +264,10 @@
         /** Names the target that answered, for support and measurements. */
         const val TARGET_HEADER = "X-Hibiscus-Target"
         const val RETRY_AFTER = "Retry-After"
+        const val CONTENT_TYPE = "Content-Type"
+        const val CONTENT_LENGTH = "Content-Length"
+        const val TRANSFER_ENCODING = "Transfer-Encoding"
+        const val EVENT_STREAM = "text/event-stream"
         const val HIDDEN_RETRY_AFTER = "X-Hibiscus-Hidden-Retry-After"
         const val MAXIMUM_THREADS = 512
         const val IDLE_THREAD_SECONDS = 10L
