Read the software version of targets and log it

Change: DiscoveredTarget.version, which may be missing; software= in the lines event=request and event=attempt. An entry whose version has another type is left out like other entries that cannot be read. Ruled out: the version in the target's answers, which do not state it.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -49,7 +49,7 @@
     private var timeout: Duration = Duration.INFINITE
     private var timeoutTask: ScheduledFuture<*>? = null
     private var currentAttempt: TargetAttempt? = null
-    private var lastTarget: TargetName? = null
+    private var lastTarget: DiscoveredTarget? = null
     private var lastFraming: AnswerFraming? = null
     private var attempts = 0
     private var status = 0
@@ -162,7 +162,7 @@
 
     private fun startAttempt(target: DiscoveredTarget, cachedAt: DiscoveredTarget?) {
         triedTargets += target.name
-        lastTarget = target.name
+        lastTarget = target
         attempts += 1
         val next =
             TargetAttempt(this, target, cachedAt, node.selector.begin(target.name, metadata.prompt))
@@ -221,7 +221,7 @@
         node.log.attemptFailed(
             AttemptSummary(
                 metadata.requestIdentifier,
-                ended.target.name.value,
+                ended.target,
                 cause,
                 next,
                 ended.progress,
@@ -297,7 +297,7 @@
             ExchangeSummary(
                 metadata.requestIdentifier,
                 route?.name,
-                lastTarget?.value,
+                lastTarget,
                 attempts,
                 status,
                 outcome,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -6,6 +6,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
+import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PromptPart
 import org.hibiscusproxy.forwarding.StatedRate
 import org.slf4j.Logger
@@ -30,11 +31,12 @@
             .record(summary.duration.inWholeMicroseconds, TimeUnit.MICROSECONDS)
         write {
             LOG.info(
-                "forwarder: event=request id={} route={} target={} attempts={} status={} " +
-                    "outcome={} reason={} framing={} milliseconds={} routing={}",
+                "forwarder: event=request id={} route={} target={} software={} attempts={} " +
+                    "status={} outcome={} reason={} framing={} milliseconds={} routing={}",
                 summary.identifier,
                 summary.route,
-                summary.target,
+                summary.target?.name,
+                summary.target?.version,
                 summary.attempts,
                 summary.status,
                 summary.outcome,
@@ -49,10 +51,11 @@
     /** Logs an attempt whose response is not forwarded. */
     fun attemptFailed(summary: AttemptSummary) = write {
         LOG.info(
-            "forwarder: event=attempt id={} target={} reason=\"{}\" next={} phase={} " +
+            "forwarder: event=attempt id={} target={} software={} reason=\"{}\" next={} phase={} " +
                 "milliseconds={} framing={} parts={}",
             summary.identifier,
-            summary.target,
+            summary.target.name,
+            summary.target.version,
             summary.reason,
             summary.next,
             summary.progress.name,
@@ -103,7 +106,7 @@
  */
 internal class AttemptSummary(
     val identifier: String?,
-    val target: String,
+    val target: DiscoveredTarget,
     val reason: String,
     val next: String,
     val progress: AttemptProgress,
@@ -119,7 +122,7 @@
 internal class ExchangeSummary(
     val identifier: String?,
     val route: String?,
-    val target: String?,
+    val target: DiscoveredTarget?,
     val attempts: Int,
     val status: Int,
     val outcome: String,
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/DiscoveredTarget.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/DiscoveredTarget.kt
@@ -5,6 +5,7 @@
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.SoftwareVersion
 import org.hibiscusproxy.model.TargetName
 
 /**
@@ -15,6 +16,7 @@
  * @property slots number of requests that it runs concurrently
  * @property coldMilliseconds remaining time during which it sustains only light load
  * @property startedAt start time in epoch milliseconds, if the list contains it
+ * @property version its software version, if the list contains it
  */
 @Serializable
 data class DiscoveredTarget(
@@ -26,4 +28,5 @@
     @SerialName("o") val slots: Int,
     @SerialName("c") val coldMilliseconds: Long = 0,
     @SerialName("b") val startedAt: Long? = null,
+    @SerialName("v") val version: SoftwareVersion? = null,
 )
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/model/Names.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/model/Names.kt
@@ -30,6 +30,13 @@
     override fun toString(): String = value
 }
 
+/** Version of the software that a target runs, as its platform lists it. Versions have no order. */
+@JvmInline
+@Serializable
+value class SoftwareVersion(val value: String) {
+    override fun toString(): String = value
+}
+
 /** Name of a routing rule. */
 @JvmInline
 @Serializable
