Let streams go on only at the software version that began them

Cause: the next target of a stream was chosen among all targets of its service, and a take-up was sent to any of them; nothing knew which version had written the first event. Class: a choice that must stay the same for the life of a stream was made anew by each process that met it.

Change: within one answer the entry remembers the version (StreamBinding) and places the rest at it only (VersionChoice). Over attempts, the leader registers the versions that the platform lists in the replicated log before entries begin streams at them; while one version only can have begun a stream, nothing is kept of it. While there are several, entries report each stream's first event to the leader, which stores it. A take-up goes on where its entry or a controller knows its version; the leader says so for the only version once a majority confirmed it. What cannot go on is refused at once with 503, not-run, X-Hibiscus-Stream: restart and no Retry-After: not a 4xx, since nothing is wrong with the request, and without a time, since waiting does not help. RoutingWait is taken out of Exchange, which had grown.

Ruled out: the version in an identifier or header of the answer (bodies stay unchanged, callers send back their own identifier only); a version by hash of the request (a hot prompt needs targets of both); recording before the first event is passed on (delays each first event).

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -26,6 +26,8 @@
 import org.hibiscusproxy.protocol.LeaseRequest
 import org.hibiscusproxy.protocol.PeerMessage
 import org.hibiscusproxy.protocol.RoutingRequest
+import org.hibiscusproxy.protocol.StreamQuery
+import org.hibiscusproxy.protocol.StreamsBegun
 import org.hibiscusproxy.timeline.EventRecorder
 import org.hibiscusproxy.timeline.FleetEvent
 import org.slf4j.Logger
@@ -72,6 +74,7 @@
         { log.membership.members.keys.toList() },
         { crashes.initialMessages() },
     )
+    private val streams = StreamService(log, state, leadership, proposals, time)
     private val crashes = CrashService(state, leadership, proposals, time, entries::broadcast)
     private var announcedVersion = 0L
     private var isExpiryProposed = false
@@ -92,11 +95,15 @@
                 leases.disconnected(input.session)
                 subscriptions.disconnected(input.session)
                 entries.disconnected(input.session)
+                streams.disconnected(input.session)
             }
 
             is ControllerInput.Platform -> platform.apply(input.list)
 
-            is ControllerInput.Targets -> entries.updateTargets(input.targets)
+            is ControllerInput.Targets -> {
+                streams.updateTargets(input.targets)
+                entries.updateTargets(input.targets)
+            }
 
             is ControllerInput.Routing -> routing.handle(input.call, input.reply)
 
@@ -118,6 +125,7 @@
         operators.advance()
         routing.advance()
         crashes.advance()
+        streams.advance()
         entries.advance()
         orders.advance()
         isLeading = leadership.active() != null
@@ -139,6 +147,8 @@
             is RoutingRequest -> entries.subscribe(session, message)
             is EntryLoad -> entries.report(session, message)
             is CrashEvidence -> crashes.receive(message)
+            is StreamsBegun -> streams.receive(message)
+            is StreamQuery -> streams.query(session, message)
             is EngineOrderResult -> orders.receiveResult(session, message)
 
             else -> {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -38,6 +38,7 @@
 ) {
     private val subscribers = LinkedHashMap<PeerSession, Subscriber>()
     private var targets: List<DiscoveredTarget>? = null
+    private var sentVersions = 0L
     private var announcedAt = time.markNow()
     private var loadSentAt = time.markNow()
 
@@ -56,7 +57,7 @@
             // Before routing and targets, with which an entry begins to serve.
             initialMessages().forEach(session::send)
             session.send(current())
-            targets?.let { session.send(TargetList(it)) }
+            targets?.let { session.send(targetList(it)) }
         }
         subscriber.push(request.knownRevision)
     }
@@ -81,12 +82,22 @@
     /** Stores [newTargets] and sends them to all subscribers. */
     fun updateTargets(newTargets: List<DiscoveredTarget>) {
         targets = newTargets
-        subscribers.keys.forEach { it.send(TargetList(newTargets)) }
+        sendTargets()
     }
 
+    private fun sendTargets() {
+        val list = targetList(targets ?: return)
+        sentVersions = list.versions.revision
+        subscribers.keys.forEach { it.send(list) }
+    }
+
+    private fun targetList(listed: List<DiscoveredTarget>) =
+        TargetList(listed, state.registeredVersions)
+
     /** Sends new revisions and the periodic messages that are due. */
     fun advance() {
         recordRevision()
+        if (state.registeredVersions.revision != sentVersions) sendTargets()
         val revision = state.routing.revision
         if (isLeading() && !wasLeading) takeOver(revision)
         wasLeading = isLeading()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -15,6 +15,7 @@
 import org.hibiscusproxy.daemon.transport.PeerTransport
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.CrashEvidence
 import org.hibiscusproxy.protocol.CrashSuspects
 import org.hibiscusproxy.protocol.EntryLoad
@@ -25,6 +26,7 @@
 import org.hibiscusproxy.protocol.RoutingCurrent
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.StreamAnswer
 import org.hibiscusproxy.protocol.TargetList
 import org.slf4j.LoggerFactory
 
@@ -38,6 +40,7 @@
  * @param peerPort port of every controller's listener for processes of the fleet
  * @param knownRevision returns the revision of the active routing
  * @param onMessage called with each message; must not block
+ * @param onLeaderFound called when a controller reports being the leader and did not before
  */
 internal class ControllerFeed(
     private val initialControllers: List<ProcessName>,
@@ -47,6 +50,7 @@
     private val knownRevision: () -> Long,
     private val onMessage: (PeerMessage) -> Unit,
     time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val onLeaderFound: () -> Unit = {},
 ) {
     private val subscriptions = ConcurrentHashMap<ProcessName, Subscription>()
     private val requests = RoutingRequestLimiter(time)
@@ -57,9 +61,15 @@
     fun follow(controllers: List<ProcessName>) = controllers.forEach(::follow)
 
     /** Sends [load] to the controllers that last reported being the leader. */
-    suspend fun report(load: EntryLoad) {
-        subscriptions.values.filter { it.isLeading }.forEach { it.connection?.send(load) }
-    }
+    suspend fun report(load: EntryLoad) = sendToLeader(load)
+
+    /** Sends [message] to the controllers that last reported being the leader. */
+    suspend fun sendToLeader(message: ControlMessage) =
+        subscriptions.values.filter { it.isLeading }.forEach { it.connection?.send(message) }
+
+    /** Sends [message] to all connected controllers. */
+    suspend fun sendToAll(message: ControlMessage) =
+        subscriptions.values.forEach { it.connection?.send(message) }
 
     /**
      * Sends evidence of crashes to each controller that lacks some.
@@ -141,6 +151,7 @@
             if (message is RoutingCurrent) {
                 val isNewLeader = message.isLeading && !isLeading
                 isLeading = message.isLeading
+                if (isNewLeader) onLeaderFound()
                 follow(message.controllers)
                 val known = knownRevision()
                 if (requests.mayRequest(message.revision, known, isNewLeader)) {
@@ -151,7 +162,7 @@
                 is RoutingUpdate, is RoutingChange, is TargetList, is FleetLoad -> onMessage(
                     message,
                 )
-                is CrashSuspects, is RefusalList -> onMessage(message)
+                is CrashSuspects, is RefusalList, is StreamAnswer -> onMessage(message)
                 else -> Unit
             }
         }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ErrorResponses.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ErrorResponses.kt
@@ -21,6 +21,8 @@
     /** The request may have been executed. */
     const val UNKNOWN = "unknown"
     private const val OUTCOME_HEADER = "X-Hibiscus-Outcome"
+    private const val STREAM_HEADER = "X-Hibiscus-Stream"
+    private const val RESTART = "restart"
 
     /** Refuses a request that was not executed; the caller may retry after [retryAfter]. */
     fun refusal(reason: FinalReason, retryAfter: Duration): DefaultFullHttpResponse {
@@ -30,6 +32,16 @@
         return response
     }
 
+    /**
+     * Refuses to continue a stream. The caller may begin a new one at once; there is no time after
+     * which taking up this one would succeed, so none is stated.
+     */
+    fun restart(reason: FinalReason): DefaultFullHttpResponse {
+        val response = failure(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, NOT_RUN)
+        response.headers().set(STREAM_HEADER, RESTART)
+        return response
+    }
+
     /** Creates an error response with [status]; [outcome] is [NOT_RUN] or [UNKNOWN]. */
     fun failure(
         status: HttpResponseStatus,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -16,6 +16,7 @@
 import org.hibiscusproxy.forwarding.PlacementChoice
 import org.hibiscusproxy.forwarding.PlacementRequest
 import org.hibiscusproxy.forwarding.TeamAccess
+import org.hibiscusproxy.forwarding.VersionChoice
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
 
@@ -65,6 +66,8 @@
     /** Splits the stream of a resumable route into events; null for other responses. */
     var events: EventSplitter? = null
         private set
+    private val routingWait = RoutingWait(this)
+    private var stream: StreamBinding? = null
     private var mayHaveRun = false
 
     private val isRepeatable: Boolean get() = route?.isRepeatable == true
@@ -78,8 +81,12 @@
      */
     fun start() {
         val index = node.routes
-        if (index == null || !node.isServing) return waitForRouting()
-        timeoutTask?.cancel(false)
+        if (index == null || !node.isServing) {
+            return routingWait.begin(startedAt.elapsedNow()) {
+                refuse(FinalReason.NO_ROUTING, RoutingWait.RETRY_AFTER)
+            }
+        }
+        routingWait.end()
         revision = node.revision
         val host = head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val matchedRoute = index.route(host, head.uri().substringBefore('?'))
@@ -99,44 +106,39 @@
         }
         val routeTimeout = matchedRoute.timeoutMilliseconds.milliseconds
         timeout = minOf(routeTimeout, metadata.callerTimeout ?: routeTimeout)
-        val chosen = selectService(matchedRoute)
+        val chosen = matchedRoute.selectService(node.random)
         service = chosen
         node.retryLimiter.recordRequest(chosen)
-        if (matchedRoute.isResumable) events = EventSplitter()
+        if (matchedRoute.isResumable) {
+            events = EventSplitter()
+            stream = StreamBinding(this, matchedRoute, chosen)
+        }
         timeoutTask = node.loop.schedule(
             ::onTimeout,
             (timeout + TIMEOUT_GRACE).inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
+        stream?.takeIf { it.isTakeUp }?.let { return continueStream(it) }
         sendToTarget()
     }
 
-    private fun waitForRouting() {
-        val callerTimeout = metadata.callerTimeout ?: MAXIMUM_ROUTING_WAIT
-        val maximumWait = minOf(callerTimeout * ROUTING_WAIT_FRACTION, MAXIMUM_ROUTING_WAIT)
-        val remainingWait = maximumWait - startedAt.elapsedNow()
-        if (!remainingWait.isPositive()) {
-            return refuse(FinalReason.NO_ROUTING, NO_ROUTING_RETRY_AFTER)
+    private fun continueStream(binding: StreamBinding) = binding.findOrigin { origin ->
+        when (origin) {
+            is StreamOrigin.Known -> continueAt(origin.version.service)
+
+            is StreamOrigin.Unknown -> refuseStream(FinalReason.ORIGIN_UNKNOWN)
+
+            is StreamOrigin.NotAnswered ->
+                refuse(FinalReason.ORIGIN_NOT_TOLD, RoutingWait.RETRY_AFTER)
         }
-        node.addWaiting(this)
-        timeoutTask = node.loop.schedule(
-            {
-                node.removeWaiting(this)
-                refuse(FinalReason.NO_ROUTING, NO_ROUTING_RETRY_AFTER)
-            },
-            remainingWait.inWholeMilliseconds,
-            TimeUnit.MILLISECONDS,
-        )
     }
 
-    private fun selectService(matchedRoute: ForwardingRoute): ServiceName {
-        val total = matchedRoute.shares.sumOf { it.weight }
-        var draw = node.random.nextInt(total)
-        for (share in matchedRoute.shares) {
-            draw -= share.weight
-            if (draw < 0) return share.service
+    private fun continueAt(origin: ServiceName) {
+        if (route?.shares.orEmpty().none { it.service == origin }) {
+            return refuseStream(FinalReason.VERSION_GONE)
         }
-        return matchedRoute.shares.last().service
+        service = origin
+        sendToTarget()
     }
 
     private fun sendToTarget() {
@@ -148,6 +150,7 @@
             objective = currentRoute.objectiveMilliseconds.milliseconds - startedAt.elapsedNow(),
             remaining = remaining,
             excluded = triedTargets,
+            versions = stream?.versions ?: VersionChoice.Any,
         )
         when (val choice = node.selector.choose(request)) {
             is PlacementChoice.Chosen -> startAttempt(choice.target, choice.cachedAt)
@@ -250,6 +253,11 @@
         caller.writeHead(response)
     }
 
+    /** Called when complete events of [target] were forwarded. */
+    fun onEventsForwarded(target: DiscoveredTarget) {
+        stream?.onEventsForwarded(target)
+    }
+
     /** Ends the request after its complete response was forwarded. */
     fun onResponseComplete() {
         lastFraming = currentAttempt?.framing
@@ -265,6 +273,7 @@
         when {
             isHeadSent -> abort(reason)
             mayHaveRun -> fail(HttpResponseStatus.BAD_GATEWAY, reason, ErrorResponses.UNKNOWN)
+            reason == FinalReason.VERSION_GONE -> refuseStream(reason)
             else -> refuse(reason, retryAfter)
         }
     }
@@ -274,6 +283,9 @@
         respond(ErrorResponses.refusal(reason, retryAfter), "refused", reason)
     }
 
+    private fun refuseStream(reason: FinalReason) =
+        respond(ErrorResponses.restart(reason), "refused", reason)
+
     private fun fail(failure: HttpResponseStatus, reason: FinalReason, outcome: String) =
         respond(ErrorResponses.failure(failure, reason, outcome), "failed", reason)
 
@@ -290,7 +302,8 @@
 
     private fun complete(outcome: String, reason: FinalReason) {
         isCompleted = true
-        node.removeWaiting(this)
+        routingWait.end()
+        stream?.close()
         timeoutTask?.cancel(false)
         body.release()
         node.log.requestCompleted(
@@ -324,15 +337,6 @@
         /** Leaves time for the target's own timeout response to arrive. */
         val TIMEOUT_GRACE = 100.milliseconds
 
-        /** Fraction of the caller's timeout for which its request waits for routing. */
-        const val ROUTING_WAIT_FRACTION = 0.5
-
-        /** Controllers that start at the same time have elected a leader by then. */
-        val MAXIMUM_ROUTING_WAIT = 2_500.milliseconds
-
-        /** Routing is typically received within this time after a start. */
-        val NO_ROUTING_RETRY_AFTER = 500.milliseconds
-
         /** A fully loaded target typically frees a slot within this time. */
         val BUSY_RETRY_AFTER = 150.milliseconds
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
@@ -34,6 +34,15 @@
     /** The request, or a part of its prompt, crashed several targets. */
     CRASHES_TARGETS("crashes-targets"),
 
+    /** The version that began the stream has no target; the caller has to begin anew. */
+    VERSION_GONE("version-gone"),
+
+    /** Nobody knows which version began the stream; the caller has to begin anew. */
+    ORIGIN_UNKNOWN("origin-unknown"),
+
+    /** No controller has told which version began the stream. */
+    ORIGIN_NOT_TOLD("origin-not-told"),
+
     /** The timeout of the route or of the caller has passed. */
     TIMEOUT("timeout"),
 
@@ -57,6 +66,7 @@
             RefusalReason.OVERLOADED -> OVERLOADED
             RefusalReason.COLD -> COLD
             RefusalReason.RATE_LIMITED -> RATE_LIMITED
+            RefusalReason.VERSION_GONE -> VERSION_GONE
         }
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -21,6 +21,7 @@
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.transport.KtorPeerTransport
 import org.hibiscusproxy.daemon.transport.toTransportSettings
+import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.CrashSuspects
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.Hello
@@ -28,6 +29,7 @@
 import org.hibiscusproxy.protocol.RefusalList
 import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.StreamAnswer
 import org.hibiscusproxy.protocol.TargetList
 
 /**
@@ -50,15 +52,21 @@
         context.registry,
         settings.toTransportSettings(),
     )
-    private val node = ForwardingNode(section, wire, loop, context.registry)
+    private val controllers = object : ControllerLink {
+        override fun sendToAll(message: ControlMessage) = send { feed.sendToAll(message) }
+
+        override fun sendToLeader(message: ControlMessage) = send { feed.sendToLeader(message) }
+    }
+    private val node = ForwardingNode(section, wire, loop, context.registry, controllers)
     private val server = ForwardingServer(group, node)
-    private val feed = ControllerFeed(
+    private val feed: ControllerFeed = ControllerFeed(
         settings.controllers.map { it.name },
         settings.controllerPeerPort,
         transport,
         scope,
         { routingRevision },
         ::onMessage,
+        onLeaderFound = { loop.execute(node::onLeaderFound) },
     )
     private val readinessPath = wire.readinessPath
 
@@ -87,14 +95,19 @@
 
     override fun reload(settings: Settings) = feed.follow(settings.controllers.map { it.name })
 
+    private fun send(block: suspend () -> Unit) {
+        scope.launch { block() }
+    }
+
     private fun onMessage(message: PeerMessage) = loop.execute {
         when (message) {
             is RoutingUpdate -> node.applyRouting(message)
             is RoutingChange -> node.applyRoutingChange(message)
-            is TargetList -> node.updateTargets(message.targets)
+            is TargetList -> node.updateTargets(message.targets, message.versions)
             is FleetLoad -> node.updateFleetLoad(message)
             is CrashSuspects -> node.crashes.updateSuspects(message)
             is RefusalList -> node.refusals.add(message)
+            is StreamAnswer -> node.lookup.receive(message)
             else -> Unit
         }
         routingRevision = node.revision
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -2,20 +2,27 @@
 
 import io.micrometer.core.instrument.MeterRegistry
 import io.netty.channel.EventLoop
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.hibiscusproxy.daemon.settings.ForwarderSettings
 import org.hibiscusproxy.forwarding.CrashObserver
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.RefusedRequests
+import org.hibiscusproxy.forwarding.RegisteredVersions
 import org.hibiscusproxy.forwarding.RetryLimiter
 import org.hibiscusproxy.forwarding.RouteIndex
+import org.hibiscusproxy.forwarding.ServiceVersion
+import org.hibiscusproxy.forwarding.StreamOrigins
 import org.hibiscusproxy.forwarding.TargetSelector
 import org.hibiscusproxy.protocol.EntryLoad
+import org.hibiscusproxy.protocol.Fingerprint
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.StreamsBegun
 import org.slf4j.LoggerFactory
 
 /**
@@ -27,6 +34,7 @@
     val wire: WireFormat,
     val loop: EventLoop,
     registry: MeterRegistry,
+    private val controllers: ControllerLink,
     val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     val random = Random.Default
@@ -36,6 +44,8 @@
     val refusals = RefusedRequests(time)
     val crashDetector = CrashDetector(loop, pool, selector, crashes)
     val log = RequestLog(registry, time)
+    val origins = StreamOrigins(time)
+    val lookup = StreamLookup(loop, time, controllers::sendToAll)
     val retryLimiter = RetryLimiter(
         settings.retryRatio,
         settings.retrySlack,
@@ -57,6 +67,7 @@
     /** Number of requests in progress. */
     var activeExchanges = 0
 
+    private var isStreamReportScheduled = false
     private val waitingExchanges = LinkedHashSet<Exchange>()
 
     /** Starts [exchange] once routing and targets are known, unless it is removed before. */
@@ -104,13 +115,39 @@
         applyRouting(RoutingUpdate(change.revision, next, change.drained))
     }
 
-    /** Replaces the targets by the platform's list. */
-    fun updateTargets(targets: List<DiscoveredTarget>) {
+    /** Replaces the targets by the platform's list, and the registered versions. */
+    fun updateTargets(targets: List<DiscoveredTarget>, versions: RegisteredVersions) {
+        origins.updateVersions(versions)
+        reportStreams()
         selector.updateTargets(targets)
         pool.prune(targets.mapTo(HashSet()) { it.name })
         startWaiting()
     }
 
+    /** Records that [origin] wrote the first event of [stream], and tells the controllers. */
+    fun recordStream(stream: Fingerprint, origin: ServiceVersion, lifetime: Duration) {
+        origins.record(stream, origin, lifetime)
+        reportStreams()
+    }
+
+    /** Reports streams again to a leader that may not know them. */
+    fun onLeaderFound() {
+        origins.reportAgain()
+        reportStreams()
+    }
+
+    private fun reportStreams() {
+        if (isStreamReportScheduled || !origins.hasUnreported) return
+        isStreamReportScheduled = true
+        loop.schedule(::sendStreams, STREAM_REPORT_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun sendStreams() {
+        isStreamReportScheduled = false
+        controllers.sendToLeader(StreamsBegun(origins.takeUnreported()))
+        reportStreams()
+    }
+
     /** Updates the load that the other forwarders report. */
     fun updateFleetLoad(load: FleetLoad) = selector.updateFleetLoad(load)
 
@@ -123,6 +160,8 @@
     )
 
     private companion object {
+        /** Collects the streams of a burst; those of the last instant are lost with the process. */
+        const val STREAM_REPORT_DELAY_MILLISECONDS = 10L
         val LOG = LoggerFactory.getLogger(ForwardingNode::class.java)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -65,6 +65,22 @@
         )
     }
 
+    /** Logs the [origin] of the stream [resumed] that a caller takes up, and who knew it. */
+    fun streamTakenUp(identifier: String?, resumed: String?, origin: StreamOrigin, source: String) =
+        write {
+            val version = (origin as? StreamOrigin.Known)?.version
+            LOG.info(
+                "forwarder: event=stream-taken-up id={} resumes={} origin={} service={} " +
+                    "software={} source={}",
+                identifier,
+                resumed,
+                origin.text,
+                version?.service,
+                version?.version,
+                source,
+            )
+        }
+
     /** Logs that [target] states another [rate] than before. */
     fun statedRateChanged(target: String, rate: StatedRate) = write {
         LOG.info("forwarder: event=stated-rate target={} rate={}", target, rate)
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWait.kt
@@ -0,0 +1,48 @@
+package org.hibiscusproxy.daemon.forwarding
+
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Lets [exchange] wait for routing and targets, for part of its caller's timeout. */
+internal class RoutingWait(private val exchange: Exchange) {
+    private val node = exchange.node
+    private var expiry: ScheduledFuture<*>? = null
+
+    /**
+     * Has [exchange] started once routing and targets are known. Calls [onExpired] instead if that
+     * takes too long, of which [elapsed] has passed.
+     */
+    fun begin(elapsed: Duration, onExpired: () -> Unit) {
+        val callerTimeout = exchange.metadata.callerTimeout ?: MAXIMUM_WAIT
+        val remaining = minOf(callerTimeout * WAIT_FRACTION, MAXIMUM_WAIT) - elapsed
+        if (!remaining.isPositive()) return onExpired()
+        node.addWaiting(exchange)
+        expiry = node.loop.schedule(
+            {
+                node.removeWaiting(exchange)
+                onExpired()
+            },
+            remaining.inWholeMilliseconds,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    /** Ends the wait, if there is one. */
+    fun end() {
+        node.removeWaiting(exchange)
+        expiry?.cancel(false)
+    }
+
+    companion object {
+        /** Routing is typically received within this time after a start. */
+        val RETRY_AFTER = 500.milliseconds
+
+        /** Fraction of the caller's timeout for which its request waits. */
+        private const val WAIT_FRACTION = 0.5
+
+        /** Controllers that start at the same time have elected a leader by then. */
+        private val MAXIMUM_WAIT = 2_500.milliseconds
+    }
+}
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -213,6 +213,7 @@
         }
         val splitter = exchange.events
         val bytes = splitter?.append(content.content()) ?: content.content().retain()
+        if (splitter != null && bytes.isReadable) exchange.onEventsForwarded(target)
         if (bytes.isReadable) exchange.caller.writeContent(bytes) else bytes.release()
         if (!exchange.caller.isWritable) connection?.setReading(false)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
@@ -36,6 +36,7 @@
  * @property requestIdentifier unique for each attempt of the caller
  * @property callerTimeout how long the caller waits for the response
  * @property lastEventIdentifier identifier of the last stream event that the caller received
+ * @property resumedIdentifier identifier of the attempt that brought the stream's first event
  */
 data class RequestMetadata(
     val requestIdentifier: String?,
@@ -43,6 +44,7 @@
     val accessKey: String?,
     val prompt: Prompt?,
     val lastEventIdentifier: String?,
+    val resumedIdentifier: String?,
 )
 
 /**
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/Fingerprints.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/Fingerprints.kt
@@ -30,5 +30,10 @@
     fun ofPromptPart(identifier: String): Fingerprint =
         Fingerprint(Hashing.of(identifier, PROMPT_PART_SEED))
 
+    /** Returns the fingerprint of the stream that began in the request [identifier] of [team]. */
+    fun ofStream(team: TeamName?, identifier: String): Fingerprint =
+        Fingerprint(Hashing.of(identifier, Hashing.of(team?.value.orEmpty(), STREAM_SEED)))
+
+    private const val STREAM_SEED = 0x73747265616dL
     private const val PROMPT_PART_SEED = 0x70726f6d7074L
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.hibiscusproxy.forwarding.RoutingConfiguration
+import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.FleetObjects
 import org.hibiscusproxy.model.OperationalState
@@ -14,6 +15,7 @@
 import org.hibiscusproxy.protocol.Incarnation
 import org.hibiscusproxy.protocol.Payload
 import org.hibiscusproxy.protocol.StoredAnswer
+import org.hibiscusproxy.protocol.StreamGroup
 
 /**
  * A command in the replicated log. It carries the leader's reading of the fleet clock, because
@@ -172,6 +174,18 @@
 data class RefuseRequests(val causes: List<Set<Fingerprint>>, override val at: FleetInstant) :
     ControlCommand()
 
+/** Registers the versions that the platform's list holds now. */
+@Serializable
+@SerialName("vr")
+data class RegisterVersions(val listed: Set<ServiceVersion>, override val at: FleetInstant) :
+    ControlCommand()
+
+/** Records which versions began streams. */
+@Serializable
+@SerialName("sr")
+data class RecordStreams(val groups: List<StreamGroup>, override val at: FleetInstant) :
+    ControlCommand()
+
 /** Advances the fleet clock and removes everything whose retention has expired. */
 @Serializable
 @SerialName("ex")
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlLimits.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlLimits.kt
@@ -26,6 +26,8 @@
  * @property firstRefusal time for which forwarders refuse a request that crashes targets
  * @property longestRefusal maximum of that time, which doubles with each further refusal
  * @property maximumRefusals maximum number of such refusals; the oldest are evicted
+ * @property streamRetention longest time for which callers may take up a stream
+ * @property maximumStreams maximum number of streams whose version is stored; the oldest are evicted
  */
 data class ControlLimits(
     val claimRetention: Duration = 24.hours,
@@ -43,4 +45,6 @@
     val firstRefusal: Duration = 10.minutes,
     val longestRefusal: Duration = 24.hours,
     val maximumRefusals: Int = 1_000,
+    val streamRetention: Duration = 2.minutes,
+    val maximumStreams: Int = 200_000,
 )
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlSnapshot.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlSnapshot.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.control
 
 import kotlinx.serialization.Serializable
+import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.FleetState
 import org.hibiscusproxy.model.TargetName
@@ -23,6 +24,7 @@
     val crashes: List<CrashRecord>,
     val routing: RoutingState = RoutingState(),
     val refusals: List<RefusalRecord> = emptyList(),
+    val streams: StreamSnapshot = StreamSnapshot(),
 )
 
 /** Fleet state with the versions and origins needed to decide on further changes. */
@@ -113,3 +115,27 @@
     val end: FleetInstant,
     val durationMilliseconds: Long,
 )
+
+/**
+ * Registered versions and the streams whose version is known.
+ *
+ * @property revision revision of the registered versions
+ */
+@Serializable
+internal data class StreamSnapshot(
+    val revision: Long = 0,
+    val versions: List<VersionRecord> = emptyList(),
+    val streams: List<StreamRecord> = emptyList(),
+)
+
+/** A registered version; [unlistedSince] is null while the platform lists a target of it. */
+@Serializable
+internal data class VersionRecord(val version: ServiceVersion, val unlistedSince: FleetInstant?)
+
+/** A stream whose first event came from [origin], which callers may take up until [end]. */
+@Serializable
+internal data class StreamRecord(
+    val stream: Fingerprint,
+    val origin: ServiceVersion,
+    val end: FleetInstant,
+)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlState.kt
@@ -2,6 +2,8 @@
 
 import kotlin.time.Duration
 import org.hibiscusproxy.consensus.StateMachine
+import org.hibiscusproxy.forwarding.RegisteredVersions
+import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.model.FleetState
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.Fingerprint
@@ -10,7 +12,8 @@
 
 /**
  * State machine replicated between the controllers: objects, states of data centres and targets,
- * change identifiers, fencing numbers, claims, crash counts, routing and refusals. Results depend only on the
+ * change identifiers, fencing numbers, claims, crash counts, routing, refusals and the
+ * versions that began streams. Results depend only on the
  * applied commands. Not thread-safe; confined to the worker that owns the consensus replica.
  */
 class ControlState(private val limits: ControlLimits = ControlLimits()) : StateMachine {
@@ -21,6 +24,7 @@
     private val refusals = RefusalTable(limits)
     private val fencing = LinkedHashMap<TargetName, FencingRecord>()
     private val routingTable = RoutingTable()
+    private val streams = StreamTable(limits)
     private var lastFencingNumber = 0L
 
     /** Latest time of any applied command. */
@@ -49,6 +53,7 @@
             changes.nextExpiry(),
             crashes.nextExpiry(),
             refusals.nextExpiry(),
+            streams.nextExpiry(),
         ).minOrNull()
 
     /** Original outcome of [change], or null if it is unknown or has expired. */
@@ -70,6 +75,16 @@
     /** Causes of crashes that forwarders refuse, or refused until recently. */
     val knownCrashCauses: Set<Set<Fingerprint>> get() = refusals.known
 
+    /** Versions at which streams may have begun that callers may still take up. */
+    val registeredVersions: RegisteredVersions get() = streams.registered
+
+    /** Whether a [RegisterVersions] command with [listed] at [now] changes anything. */
+    fun needsRegistration(listed: Set<ServiceVersion>, now: FleetInstant): Boolean =
+        streams.needsRegistration(listed, now)
+
+    /** Version that began [stream], or null if it is not stored. */
+    fun streamOrigin(stream: Fingerprint): ServiceVersion? = streams.origin(stream)
+
     /**
      * @throws IllegalArgumentException if the command cannot be decoded. The replica then stops,
      *   because skipping the command would let replicas of different program versions diverge.
@@ -109,6 +124,16 @@
                 ControlResult.Done
             }
 
+            is RegisterVersions -> {
+                streams.register(command.listed, clock)
+                ControlResult.Done
+            }
+
+            is RecordStreams -> {
+                streams.record(command.groups, clock)
+                ControlResult.Done
+            }
+
             is Expire -> expire()
         }
     }
@@ -155,6 +180,7 @@
         changes.expire(clock)
         crashes.expire(clock)
         refusals.expire(clock)
+        streams.expire(clock)
         return ControlResult.Done
     }
 
@@ -169,6 +195,7 @@
             crashes = crashes.snapshot(),
             routing = routingTable.state,
             refusals = refusals.snapshot(),
+            streams = streams.snapshot(),
         ),
     )
 
@@ -184,5 +211,6 @@
         crashes.restore(decoded.crashes)
         routingTable.restore(decoded.routing)
         refusals.restore(decoded.refusals)
+        streams.restore(decoded.streams)
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRefusals.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRefusals.kt
@@ -9,6 +9,10 @@
     /** Refuses a request to a service without a usable target. */
     fun noTarget(): PlacementChoice = refuse(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
 
+    /** Refuses to continue a stream whose version has no target; waiting does not help. */
+    fun versionGone(): PlacementChoice =
+        PlacementChoice.Refused(RefusalReason.VERSION_GONE, Duration.ZERO)
+
     /** Refuses a request that would have to wait for [wait] at the best target. */
     fun overloaded(wait: Duration): PlacementChoice =
         unavailable(RefusalReason.OVERLOADED, wait / 2)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
@@ -33,6 +33,7 @@
  * @property objective latency objective, counted from now
  * @property remaining time until the caller or the route times out
  * @property excluded targets that were already tried
+ * @property versions software versions whose targets may get the request
  */
 data class PlacementRequest(
     val service: ServiceName,
@@ -40,6 +41,7 @@
     val objective: Duration,
     val remaining: Duration,
     val excluded: Set<TargetName> = emptySet(),
+    val versions: VersionChoice = VersionChoice.Any,
 )
 
 /** Result of placing a request. */
@@ -69,4 +71,7 @@
 
     /** Every usable target gets as many requests as it states to take. */
     RATE_LIMITED,
+
+    /** No target of the version that began the stream takes requests. */
+    VERSION_GONE,
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingConfiguration.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingConfiguration.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.forwarding
 
+import kotlin.random.Random
 import kotlinx.serialization.Serializable
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TeamName
@@ -47,6 +48,15 @@
     val isResumable: Boolean = false,
     val longestPauseMilliseconds: Long = 0,
 ) {
+    /** Selects one of the services at random, by their weights. */
+    fun selectService(random: Random): ServiceName {
+        var draw = random.nextInt(shares.sumOf { it.weight })
+        return shares.first { share ->
+            draw -= share.weight
+            draw < 0
+        }.service
+    }
+
     /** Whether a request may be retried although it may have run. */
     val isRepeatable: Boolean
         get() = when (kind) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -99,8 +99,8 @@
     fun choose(request: PlacementRequest): PlacementChoice {
         val now = time.markNow()
         demand.record(request.service)
-        val usable = states.values.filter { it.isUsable(request) }
-        if (usable.isEmpty()) return refusals.noTarget()
+        val usable = request.versions.select(states.values.filter { it.isUsable(request) })
+        if (usable.isEmpty()) return refuseWithoutTarget(request)
         val healthy = usable.filter { !it.health.isSuspended(now) }
             .ifEmpty { listOf(earliestAvailable(usable)) }
         val share = demand.share(request.service, forwarders)
@@ -117,6 +117,14 @@
         }
     }
 
+    private fun refuseWithoutTarget(request: PlacementRequest): PlacementChoice {
+        val staying = states.values.map { it.listed }
+            .filter { it.service == request.service && !it.isLeaving }
+        val isGone = request.versions is VersionChoice.Only &&
+            staying.none(request.versions::matches)
+        return if (isGone) refusals.versionGone() else refusals.noTarget()
+    }
+
     /** Refuses a request, because [targets] are cold or have no permit left. */
     private fun refuseUntilAvailable(
         targets: List<TargetState>,
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
@@ -82,6 +82,7 @@
     /** Whether [next] is the same incarnation of the target. */
     fun isSameIncarnation(next: DiscoveredTarget): Boolean = next.service == listed.service &&
         next.address == listed.address &&
+        next.version == listed.version &&
         (
             next.startedAt == null || listed.startedAt == null ||
                 next.startedAt == listed.startedAt
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PromptPart
+import org.hibiscusproxy.forwarding.RegisteredVersions
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.forwarding.RoutingDifference
 import org.hibiscusproxy.model.DataCenterName
@@ -50,10 +51,17 @@
     @SerialName("m") val controllers: List<ProcessName>,
 ) : ControlMessage()
 
-/** The list of targets that this controller last read from the platform. */
+/**
+ * The list of targets that this controller last read from the platform.
+ *
+ * @property versions versions that the controllers have registered
+ */
 @Serializable
 @SerialName("ft")
-data class TargetList(@SerialName("t") val targets: List<DiscoveredTarget>) : ControlMessage()
+data class TargetList(
+    @SerialName("t") val targets: List<DiscoveredTarget>,
+    @SerialName("v") val versions: RegisteredVersions = RegisteredVersions(),
+) : ControlMessage()
 
 /** Requests in progress at a target from one forwarder, or from all except the receiver. */
 @Serializable
