Register the versions of streams that the leader has not seen listed

What callers could see: if the leader cannot read the platform's list while the others can, and all targets of the known versions have left, entries begin streams at a version that is not registered; the leader would then give the old version as the only one to a caller that takes one up. Cause: only the leader's own list made a version known. Change: entries report streams of versions that are not registered, and storing such a stream registers its version. Ruled out: never to begin streams at such versions, which would refuse all of them while there is no majority.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/StreamTable.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/StreamTable.kt
@@ -30,6 +30,10 @@
             if (isLeaving) record.copy(unlistedSince = now) else record
         }
         versions.values.removeAll { it.isExpired(now) }
+        updateRegistered()
+    }
+
+    private fun updateRegistered() {
         if (versions.keys == registered.versions) return
         registered = RegisteredVersions(registered.revision + 1, versions.keys.toSet())
     }
@@ -37,6 +41,8 @@
     fun record(groups: List<StreamGroup>, now: FleetInstant) {
         dropExpired(now)
         for (group in groups) {
+            // A stream may begin at a version that the leader has not seen in the list.
+            versions.getOrPut(group.origin) { VersionRecord(group.origin, unlistedSince = now) }
             val lifetime = minOf(group.lifetimeSeconds.seconds, limits.streamRetention)
             val end = now + lifetime
             lastEnd = maxOf(lastEnd, end)
@@ -45,6 +51,7 @@
             }
         }
         while (streams.size > limits.maximumStreams) streams.remove(streams.keys.first())
+        updateRegistered()
     }
 
     fun origin(stream: Fingerprint): ServiceVersion? = streams[stream]?.origin
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/StreamOrigins.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/StreamOrigins.kt
@@ -41,7 +41,7 @@
         if (stream in records) return
         if (records.size == CAPACITY_STREAMS) forget(records.keys.first())
         records[stream] = Record(origin, time.markNow() + lifetime)
-        if (origin.service in mixedServices()) unreported += stream
+        if (needsReport(origin)) unreported += stream
     }
 
     /** Returns what began [stream], or null if this forwarder does not know it. */
@@ -60,10 +60,12 @@
     /** Reports all streams of services with several versions again, because the leader changed. */
     fun reportAgain() {
         dropExpired()
-        val mixed = mixedServices()
-        records.filterValues { it.origin.service in mixed }.keys.let(unreported::addAll)
+        records.filterValues { needsReport(it.origin) }.keys.let(unreported::addAll)
     }
 
+    private fun needsReport(origin: ServiceVersion): Boolean =
+        origin !in registered.versions || origin.service in mixedServices()
+
     private fun mixedServices(): Set<ServiceName> = registered.versions
         .groupingBy { it.service }
         .eachCount()
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/StreamTableTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/control/StreamTableTest.kt
@@ -70,6 +70,15 @@
             register(2.seconds, old, new)
             assertEquals(2, state.registeredVersions.revision)
         }
+
+        @Test
+        fun `that no controller listed are registered with their streams`() {
+            register(0.seconds, old)
+            record(1.seconds, new, 1)
+            assertEquals(setOf(old, new), state.registeredVersions.versions)
+            register(2.seconds, old)
+            assertEquals(setOf(old, new), state.registeredVersions.versions)
+        }
     }
 
     @Nested
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/StreamOriginsTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/StreamOriginsTest.kt
@@ -45,6 +45,13 @@
             assertEquals(mapOf(new to listOf(Fingerprint(3))), reported())
         }
 
+        @Test
+        fun `hold streams of a version that is not registered`() {
+            register(1, old)
+            origins.record(Fingerprint(1), new, 5.seconds)
+            assertEquals(mapOf(new to listOf(Fingerprint(1))), reported())
+        }
+
         @Test
         fun `are repeated for a new leader`() {
             register(1, old, new)
