Let a new leader wait for reports before it says that nobody knows a stream

What callers would see: right after an election, take-ups of streams whose record the earlier leader had not stored are told to begin anew, though their entries report them again a few milliseconds later. Cause: the wait for reports counted from the query, which may be older than the leadership. Change: it counts from the later of the two. The simulation also gives entries lists that other controllers read more recently. Ruled out: waiting longer in general, which would hold callers.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/StreamService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/StreamService.kt
@@ -36,6 +36,7 @@
     private var listed: Set<ServiceVersion>? = null
     private val reported = ArrayDeque<StreamGroup>()
     private val queries = ArrayList<Query>()
+    private var leadingSince: ComparableTimeMark? = null
     private var isRegistering = false
     private var isRecording = false
 
@@ -64,6 +65,8 @@
     fun advance() {
         propose()
         val isLeading = leadership.active() != null
+        if (!isLeading) leadingSince = null
+        if (isLeading && leadingSince == null) leadingSince = time.markNow()
         queries.removeAll { it.isAnswered(isLeading) }
     }
 
@@ -79,9 +82,11 @@
         val versions = listed ?: return
         if (isRegistering || !state.needsRegistration(versions, now)) return
         isRegistering = true
-        proposals.propose(RegisterVersions(versions, now)) {
+        proposals.propose(RegisterVersions(versions, now)) { outcome ->
             isRegistering = false
-            LOG.info("controller: registered versions {}", state.registeredVersions.versions)
+            if (outcome is ProposalOutcome.Applied) {
+                LOG.info("controller: registered versions {}", state.registeredVersions.versions)
+            }
         }
     }
 
@@ -114,12 +119,15 @@
         val only = registered.singleOrNull()?.takeIf { registered.containsAll(present) }
         return when {
             only != null -> answer(only)
-            // The report of the stream may be on its way.
-            arrivedAt.elapsedNow() < REPORT_WAIT -> false
+            mayBeReported() -> false
             else -> answer(null)
         }
     }
 
+    /** Whether the report of the stream may be on its way, to this leader after an earlier one. */
+    private fun Query.mayBeReported(): Boolean =
+        maxOf(arrivedAt, leadingSince ?: arrivedAt).elapsedNow() < REPORT_WAIT
+
     private fun Query.answer(origin: ServiceVersion?): Boolean {
         session.send(StreamAnswer(message.number, origin))
         return true
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/StreamVersionSimulationTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/StreamVersionSimulationTest.kt
@@ -75,6 +75,11 @@
                         it
                 }
                 session.received.clear()
+                // Another controller may have read the platform's list more recently.
+                if (random.nextInt(STEPS_PER_READ) == 0) {
+                    val list = TargetList(listed.values.toList(), fixture.state.registeredVersions)
+                    lists += time.markNow() to list
+                }
                 while (lists.firstOrNull()?.first?.hasPassedNow() == true) {
                     val list = lists.removeFirst().second
                     origins.updateVersions(list.versions)
