--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/StreamVersionSimulationTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/StreamVersionSimulationTest.kt
@@ -194,7 +194,7 @@
     inner class `Streams that are taken up` {
         @Test
         fun `never go on at another version than the one that began them`() {
-            val seeds = 1..System.getProperty("streams.seeds", "20").toInt()
+            val seeds = 1..System.getProperty("streams.seeds", "100").toInt()
             val runs = seeds.associateWith { Run(it).play() }
             val faults = runs.filterValues { it.faults.isNotEmpty() }.mapValues { it.value.faults }
             assertEquals(emptyMap(), faults, "faults by seed")
