Log controllers without a leader, and where an entry got its first routing

A controller that knows no leader for 5 s names its voters and how long each has been silent, and hibiscus.controller.leaderless.seconds is its metric. An entry logs the controller of its first routing and whether that led. No decision changes.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -8,6 +8,7 @@
 import java.security.SecureRandom
 import java.util.concurrent.CompletableFuture
 import kotlin.random.asKotlinRandom
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -108,6 +109,9 @@
         LOG.info("controller: operators' interface listens at {}", operatorAddress)
     }
 
+    /** Time for which this controller has known no leader. */
+    val leaderlessTime: Duration get() = core.leaderlessTime
+
     /** Adds [controllers] to the processes that this replica announces itself to. */
     fun addContacts(controllers: List<ProcessName>) {
         worker.trySubmit(ControllerInput.Contacts(controllers))
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.daemon.controller
 
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.hibiscusproxy.consensus.ConsensusOutput
@@ -79,7 +80,10 @@
     private var announcedVersion = 0L
     private var isExpiryProposed = false
     private var prunedAt = time.markNow()
-    private var leaderSeenAt = time.markNow()
+    private val leaderWatch = LeaderWatch(log, time)
+
+    /** Time for which no leader has been known. Readable from any thread. */
+    val leaderlessTime: Duration get() = leaderWatch.leaderlessTime
 
     /** Whether this replica was the leader after the last [advance]. Readable from any thread. */
     @Volatile
@@ -160,6 +164,7 @@
 
     private fun receiveConsensus(sender: ProcessName, envelope: ConsensusEnvelope) {
         if (membership.mayJoin(sender)) {
+            leaderWatch.recordMessage(sender)
             log.receive(sender, envelope.content, time.markNow())
         } else {
             LOG.warn("controller: ignored a log message from {}, which is not a controller", sender)
@@ -256,9 +261,9 @@
     }
 
     private fun closeSubscribersWithoutLeader(now: ComparableTimeMark) {
-        if (log.leader != null) leaderSeenAt = now
-        val limit = now - LEADERLESS_LIMIT
-        if (leaderSeenAt < limit) subscriptions.closeOlderThan(limit)
+        leaderWatch.advance()
+        if (leaderWatch.leaderlessTime <= LEADERLESS_LIMIT) return
+        subscriptions.closeOlderThan(now - LEADERLESS_LIMIT)
     }
 
     private fun prune(now: ComparableTimeMark) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
@@ -1,7 +1,9 @@
 package org.hibiscusproxy.daemon.controller
 
 import com.github.michaelbull.result.getOrElse
+import io.micrometer.core.instrument.Gauge
 import kotlin.time.Duration
+import kotlin.time.DurationUnit
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -49,6 +51,9 @@
         )
         val started = Controller.start(dependencies).getOrElse { throw StorageOpenException(it) }
         controller = started
+        Gauge.builder("hibiscus.controller.leaderless.seconds") {
+            started.leaderlessTime.toDouble(DurationUnit.SECONDS)
+        }.register(context.registry)
         scope.launch { onFailure(started.failure.await()) }
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -158,6 +158,14 @@
                     newConnection.send(RoutingRequest(known))
                 }
             }
+            if (message is RoutingUpdate && knownRevision() == 0L) {
+                LOG.info(
+                    "forwarder: event=first-routing revision={} controller={} leading={}",
+                    message.revision,
+                    name,
+                    isLeading,
+                )
+            }
             when (message) {
                 is RoutingUpdate, is RoutingChange, is TargetList, is FleetLoad -> onMessage(
                     message,
