--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
@@ -14,16 +14,30 @@
 import org.hibiscusproxy.protocol.Incarnation
 import org.hibiscusproxy.protocol.PeerMessage
 
-/** A controller in a [ControllerSimulation] that can be restarted or partitioned from the others. */
+/**
+ * A controller in a simulation that can be stopped, wiped and partitioned from the others.
+ *
+ * @param bootstrap the controllers that create the cluster
+ */
 internal class SimulatedController(
     val name: ProcessName,
-    private val names: List<ProcessName>,
+    private val bootstrap: List<ProcessName>,
     private val network: LossyNetwork,
-    private val peer: (ProcessName) -> SimulatedController,
+    private val membership: ControllerMembership =
+        ControllerMembership.Listed(bootstrap.toSet() - name),
+    private val mayFound: Boolean = true,
+    private val peer: (ProcessName) -> SimulatedController?,
 ) {
-    private val storage = MemoryLogStorage(names.indexOf(name) + 1L)
+    private var storage = emptyStorage()
     private var core = open()
 
+    var isRunning = true
+        private set
+
+    /** Number of starts. */
+    var incarnation = 1
+        private set
+
     /** Whether all messages between this controller and the others are dropped. */
     var isPartitioned = false
 
@@ -31,7 +45,13 @@
 
     private fun open(): ControllerCore {
         val state = ControlState()
-        val settings = ReplicatedLogSettings(name, names, snapshotEntries = 50, trailingEntries = 5)
+        val settings = ReplicatedLogSettings(
+            name,
+            bootstrap,
+            mayFound,
+            snapshotEntries = 50,
+            trailingEntries = 5,
+        )
         val log =
             ReplicatedLog.open(settings, storage, state, network.random, network.time.markNow())
                 .getOrThrow { IllegalStateException(it.message) }
@@ -42,20 +62,50 @@
             LeaseSettings(),
             network.time,
             { },
-            ControllerMembership.Listed(names.toSet() - name),
+            membership,
             ::sendToPeer,
         )
     }
 
+    private fun emptyStorage() = MemoryLogStorage(network.random.nextLong())
+
     fun restart() {
-        storage.crash(network.random)
+        stop()
+        start()
+    }
+
+    /** Loses power; what was not synced is lost. */
+    fun stop() {
+        if (isRunning) storage.crash(network.random)
+        isRunning = false
+    }
+
+    /** Loses power and the disk. */
+    fun wipe() {
+        stop()
+        storage = emptyStorage()
+    }
+
+    fun start() {
+        if (isRunning) return
         core = open()
+        incarnation += 1
+        isRunning = true
+    }
+
+    fun advance() {
+        if (isRunning) core.advance()
     }
 
-    fun advance() = core.advance()
+    fun receive(session: PeerSession, message: PeerMessage) {
+        if (isRunning) core.handle(ControllerInput.Received(session, message))
+    }
 
-    fun receive(session: PeerSession, message: PeerMessage) =
-        core.handle(ControllerInput.Received(session, message))
+    fun routing(call: RoutingCall): CompletableFuture<RoutingReply> {
+        val reply = CompletableFuture<RoutingReply>()
+        if (isRunning) core.handle(ControllerInput.Routing(call, reply))
+        return reply
+    }
 
     fun operator(request: OperatorRequest): CompletableFuture<OperatorReply> {
         val reply = CompletableFuture<OperatorReply>()
@@ -64,7 +114,7 @@
     }
 
     private fun sendToPeer(receiver: ProcessName, message: ControlMessage) {
-        val other = peer(receiver)
+        val other = peer(receiver) ?: return
         if (isPartitioned || other.isPartitioned) return
         val hello = Hello(name, DataCenterName("lj"), Incarnation(1))
         val session = LossySession(hello, network) { }
