Give starting entries routing only from a leader that a majority confirmed

Cause: an entry that knows no routing took it from any controller and served with it at once. As long as no leader comes, the entry stays there. Class: a read that is answered from a replica that nobody confirmed. Change: EntryFeed holds back routing from an entry without any until a majority has confirmed the leader after the entry asked. Followers give it none. Every change acknowledged before the request is then included, because a leader has every committed entry and a majority that confirms it has no newer leader.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -71,7 +71,7 @@
     private val entries: EntryFeed = EntryFeed(
         state,
         time,
-        { leadership.active() != null },
+        { leadership.active()?.let { log.majorityContact } },
         { log.membership.members.keys.toList() },
         { crashes.initialMessages() },
     )
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -27,12 +27,17 @@
  * Publishes updates to the entries that forward by host and path: the routing that this controller
  * has applied, the latest list of targets and, while this controller is the leader, the load and
  * the sent prompts of all other entries. Entries subscribe to every controller and keep the newest
- * revision, so that a partitioned controller does not delay them. Used by the worker only.
+ * revision, so that a partitioned controller does not delay them. An entry that knows no routing
+ * gets it only from a leader that a majority confirmed after the entry asked, because a controller
+ * may lack acknowledged changes, for example after a restart. Used by the worker only.
+ *
+ * @param confirmedAt latest time at which a majority accepted this controller as the leader; null
+ * while it does not lead
  */
 internal class EntryFeed(
     private val state: ControlState,
     private val time: TimeSource.WithComparableMarks,
-    private val isLeading: () -> Boolean,
+    private val confirmedAt: () -> ComparableTimeMark?,
     private val controllers: () -> List<ProcessName>,
     private val initialMessages: () -> List<ControlMessage> = { emptyList() },
 ) {
@@ -50,6 +55,8 @@
     private var announcedRevision = 0L
     private var wasLeading = false
 
+    private val isLeading: Boolean get() = confirmedAt() != null
+
     fun subscribe(session: PeerSession, request: RoutingRequest) {
         val isNew = session !in subscribers
         val subscriber = subscribers.getOrPut(session) { Subscriber(session) }
@@ -59,7 +66,7 @@
             session.send(current())
             targets?.let { session.send(targetList(it)) }
         }
-        subscriber.push(request.knownRevision)
+        subscriber.request(request.knownRevision)
     }
 
     fun disconnected(session: PeerSession) {
@@ -99,11 +106,11 @@
         recordRevision()
         if (state.registeredVersions.revision != sentVersions) sendTargets()
         val revision = state.routing.revision
-        if (isLeading() && !wasLeading) takeOver(revision)
-        wasLeading = isLeading()
+        if (isLeading && !wasLeading) takeOver(revision)
+        wasLeading = isLeading
         // Followers only announce the revision. Entries request it from them if the leader is slow.
-        if (isLeading()) {
-            subscribers.values.forEach { if (it.sentRevision < revision) it.push(it.sentRevision) }
+        if (isLeading) {
+            subscribers.values.forEach { it.pushChanges(revision) }
         }
         val now = time.markNow()
         if (now - announcedAt >= ANNOUNCEMENT_INTERVAL || announcedRevision < revision) {
@@ -112,7 +119,7 @@
             val current = current()
             subscribers.keys.forEach { it.send(current) }
         }
-        if (isLeading() && now - loadSentAt >= LOAD_INTERVAL) {
+        if (isLeading && now - loadSentAt >= LOAD_INTERVAL) {
             loadSentAt = now
             sendLoads(now)
         }
@@ -123,7 +130,7 @@
      * to those that request it.
      */
     private fun takeOver(revision: Long) {
-        subscribers.values.forEach { it.sentRevision = maxOf(it.sentRevision, revision) }
+        subscribers.values.forEach { it.skipTo(revision) }
         announcedRevision = 0
     }
 
@@ -156,10 +163,13 @@
         first.pendingTokens + second.pendingTokens,
     )
 
-    private fun current() = RoutingCurrent(state.routing.revision, isLeading(), controllers())
+    private fun current() = RoutingCurrent(state.routing.revision, isLeading, controllers())
 
     private inner class Subscriber(val session: PeerSession) {
-        var sentRevision = 0L
+        private var sentRevision = 0L
+
+        /** Since when an entry without routing has been waiting for it; null if it is not. */
+        private var waitingSince: ComparableTimeMark? = null
         var uses: Map<TargetName, TargetUse> = emptyMap()
         var reportedAt: ComparableTimeMark? = null
         private var sentLoad: FleetLoad? = null
@@ -176,7 +186,40 @@
             session.send(load.copy(prompts = unsentPrompts.take(), rates = unsentRates.take()))
         }
 
-        fun push(known: Long) {
+        /** Sends the routing if the entry lacks it, with [known] being what it has. */
+        fun request(known: Long) {
+            if (known > 0) {
+                waitingSince = null
+                push(known)
+            } else if (isLeading) {
+                if (waitingSince == null) waitingSince = time.markNow()
+                sendFirst()
+            }
+        }
+
+        /** Sends what the entry lacks of [revision]. */
+        fun pushChanges(revision: Long) {
+            when {
+                waitingSince != null -> sendFirst()
+                sentRevision < revision -> push(sentRevision)
+            }
+        }
+
+        /** Sends revisions up to [revision] only on request. */
+        fun skipTo(revision: Long) {
+            waitingSince = null
+            sentRevision = maxOf(sentRevision, revision)
+        }
+
+        private fun sendFirst() {
+            val since = waitingSince ?: return
+            val confirmed = confirmedAt() ?: return
+            if (confirmed < since || state.routing.revision == 0L) return
+            waitingSince = null
+            push(known = 0)
+        }
+
+        private fun push(known: Long) {
             val routing = state.routing
             sentRevision = maxOf(sentRevision, known)
             if (routing.revision <= known) return
