Remove the voter that a new controller replaces as soon as that votes

Cause: the replaced voter stayed for 10 s beside its successor. Four voters, one of them gone for good, need three of the other three; the loss of one more, though tolerated one at a time, left two of four, and nobody led again to remove anything. Class: a repair that lowers the tolerance until it is finished, and that waited for a timer. Ruled out: that the wiped controller was refused (it announced itself throughout), and that committed entries were lost (both voters had them). Change: a voter beyond the minimum that has been silent for 1 s is removed, the longest silent first. The minimum of voters stays, so that a member that is away with its disk still counts. A removed member that returns rejoins. MembershipReconcilerTest: 'stay for the limit' asserted 10 s for a voter whose successor votes, which is the fault; three tests replace it.

--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerLossSimulation.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerLossSimulation.kt
@@ -20,12 +20,13 @@
 /**
  * Three controllers that add and remove members themselves, entries that follow all of them, and an
  * operator who publishes versions throughout, in virtual time. Controllers are replaced, lose their
- * disks and power, and are cut off; one is lost at a time.
+ * disks and power, and are cut off; one is lost at a time,
+ * some seconds after the repair of the one before.
  */
 internal class ControllerLossSimulation(seed: Int) {
     val random = Random(seed)
     private val network = LossyNetwork(random)
-    private val bootstrap = (1..3).map { ProcessName("c$it") }
+    private var bootstrap = (1..3).map { ProcessName("c$it") }
     private val controllers = LinkedHashMap<ProcessName, SimulatedController>()
     private val entries = List(ENTRIES) { Entry(it) }
     private val publications = ArrayList<Pair<Long, CompletableFuture<RoutingReply>>>()
@@ -35,6 +36,14 @@
     /** Whether the operator publishes versions. */
     var isPublishing = true
 
+    private val faults = ArrayList<String>()
+
+    /** Faults after which not all running controllers became voters in time. */
+    val unrepaired = ArrayList<String>()
+
+    /** Times from the end of a fault until all running controllers were voters. */
+    val repairTimes = ArrayList<Duration>()
+
     /** Highest acknowledged version. */
     var acknowledged = 0L
         private set
@@ -43,7 +52,7 @@
     val reverted = ArrayList<String>()
 
     init {
-        bootstrap.forEach { add(it, mayFound = true) }
+        bootstrap.toList().forEach { add(it, mayFound = true) }
         entries.forEach { it.restart() }
     }
 
@@ -54,7 +63,7 @@
     private fun add(name: ProcessName, mayFound: Boolean): SimulatedController {
         val controller = SimulatedController(
             name,
-            bootstrap,
+            { bootstrap },
             network,
             ControllerMembership.Automatic(toleratedLosses = 1),
             mayFound,
@@ -70,13 +79,17 @@
 
     /** Loses [controller] for good; an empty one with another name starts after [delay]. */
     fun replace(controller: SimulatedController, delay: Duration = 1.seconds): SimulatedController {
+        faults += "${network.elapsed()} replace ${controller.name} $delay"
         controller.stop()
         run(delay)
-        return add(ProcessName("c${controllers.size + 1}"), mayFound = false)
+        val replacement = ProcessName("c${controllers.size + 1}")
+        bootstrap = bootstrap - controller.name + replacement
+        return add(replacement, mayFound = false)
     }
 
     /** [controller] loses its disk and is away for [duration]. */
     fun wipe(controller: SimulatedController, duration: Duration) {
+        faults += "${network.elapsed()} wipe ${controller.name} $duration"
         controller.wipe()
         run(duration)
         controller.start()
@@ -84,6 +97,7 @@
 
     /** All controllers and entries lose power for [duration]. */
     fun losePower(duration: Duration) {
+        faults += "${network.elapsed()} losePower $duration"
         val lost = running
         lost.forEach { it.stop() }
         run(duration)
@@ -93,6 +107,7 @@
 
     /** [controller] is cut off from the other controllers for [duration]. */
     fun cutOff(controller: SimulatedController, duration: Duration) {
+        faults += "${network.elapsed()} cutOff ${controller.name} $duration"
         controller.isPartitioned = true
         run(duration)
         controller.isPartitioned = false
@@ -100,6 +115,7 @@
 
     /** One misses changes, one of the others loses its disk, the third is away when the cut heals. */
     fun leaveOnlyOneBehind(missed: Duration, away: Duration) {
+        faults += "${network.elapsed()} leaveOnlyOneBehind $missed $away"
         val (behind, wiped, dark) = running.shuffled(random)
         behind.isPartitioned = true
         run(missed)
@@ -112,6 +128,8 @@
         dark.start()
     }
 
+    override fun toString(): String = "$faults; ${controllers.values.joinToString("; ")}"
+
     fun restartEntries() = entries.forEach { it.restart() }
 
     fun anyRunning(): SimulatedController = running.random(random)
@@ -134,19 +152,39 @@
 
             else -> restartEntries()
         }
-        run(REPAIR_TIME + random.nextInt(3_000).milliseconds)
+        awaitRepair()
+        run(random.nextInt(2_000, 5_000).milliseconds)
+    }
+
+    /** Waits until all running controllers are voters. */
+    private fun awaitRepair() {
+        val startedAt = network.elapsed()
+        while (!isRepaired()) {
+            if (network.elapsed() - startedAt >= REPAIR_LIMIT) {
+                unrepaired += "$this"
+                return
+            }
+            step()
+        }
+        repairTimes += network.elapsed() - startedAt
+    }
+
+    private fun isRepaired(): Boolean {
+        val members = leader?.members ?: return false
+        return running.all { members.isVoter(it.name, it.identity) }
     }
 
     /** Whether a controller returns the newest acknowledged version within [duration]. */
     fun canBeRead(duration: Duration): Boolean {
         val end = network.elapsed() + duration
         while (network.elapsed() < end) {
+            val expected = acknowledged
             val replies = running.map { it.routing(RoutingCall.Read) }
             run(READ_TIME)
             val read = replies.filter { it.isDone }.map { it.get() }
                 .filterIsInstance<RoutingReply.Current>()
                 .maxOfOrNull { it.state.configuration?.version ?: 0 }
-            if (read != null) return read >= acknowledged
+            if (read != null) return read >= expected
         }
         return false
     }
@@ -202,7 +240,7 @@
                 if (own == incarnation) receive(controller, session, it)
             }
             sessions[controller.name] = controller.incarnation to session
-            request(controller, session)
+            controller.receive(session, RoutingRequest(revision))
         }
 
         private fun request(controller: SimulatedController, session: PeerSession) {
@@ -246,7 +284,7 @@
         val PUBLISH_INTERVAL = 300.milliseconds
         val READ_TIME = 1_200.milliseconds
 
-        /** Time between the end of a fault and the next one. */
-        val REPAIR_TIME = 3.seconds
+        /** Time after a fault within which controllers have to lead and vote again. */
+        val REPAIR_LIMIT = 12.seconds
     }
 }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerLossTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerLossTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.Nested
 
@@ -25,14 +26,22 @@
 
         @Test
         fun `can be read and is in force after losses of one controller at a time`() {
-            val unread = seeds.filterNot { seed ->
+            val repairTimes = ArrayList<Duration>()
+            val unread = seeds.mapNotNull { seed ->
                 val simulation = ControllerLossSimulation(seed)
                 simulation.run(5.seconds)
                 repeat(FAULTS) { simulation.disturb() }
                 simulation.isPublishing = false
-                simulation.canBeRead(RECOVERY_TIME) && simulation.allEntriesServeAcknowledged()
+                repairTimes += simulation.repairTimes
+                val isRead = simulation.canBeRead(RECOVERY_TIME)
+                val isInForce = simulation.allEntriesServeAcknowledged()
+                val isSound = isRead && isInForce && simulation.unrepaired.isEmpty()
+                "seed $seed: $isRead $isInForce ${simulation.unrepaired} $simulation"
+                    .takeUnless { isSound }
             }
-            assertEquals(emptyList(), unread, "seeds")
+            val sorted = repairTimes.sorted()
+            println("repairs: ${sorted.size}, p50 ${sorted[sorted.size / 2]}, max ${sorted.last()}")
+            assertEquals("", unread.joinToString("\n"))
         }
     }
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerSimulation.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerSimulation.kt
@@ -23,7 +23,7 @@
     private val random get() = network.random
     private val names = listOf("c1", "c2", "c3").map(::ProcessName)
     private val controllers: List<SimulatedController> = names.map { name ->
-        SimulatedController(name, names, network, peer = ::controller)
+        SimulatedController(name, { names }, network, peer = ::controller)
     }
     private val sidecars = mutableListOf<LeaseClient>()
     private val recorder = ExecutionRecorder()
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.getOrThrow
 import java.util.concurrent.CompletableFuture
+import org.hibiscusproxy.consensus.Membership
 import org.hibiscusproxy.consensus.MemoryLogStorage
 import org.hibiscusproxy.consensus.ReplicatedLog
 import org.hibiscusproxy.consensus.ReplicatedLogSettings
@@ -17,18 +18,19 @@
 /**
  * A controller in a simulation that can be stopped, wiped and partitioned from the others.
  *
- * @param bootstrap the controllers that create the cluster
+ * @param bootstrap returns the controllers that the settings name at a start
  */
 internal class SimulatedController(
     val name: ProcessName,
-    private val bootstrap: List<ProcessName>,
+    private val bootstrap: () -> List<ProcessName>,
     private val network: LossyNetwork,
     private val membership: ControllerMembership =
-        ControllerMembership.Listed(bootstrap.toSet() - name),
+        ControllerMembership.Listed(bootstrap().toSet() - name),
     private val mayFound: Boolean = true,
     private val peer: (ProcessName) -> SimulatedController?,
 ) {
     private var storage = emptyStorage()
+    private lateinit var log: ReplicatedLog
     private var core = open()
 
     var isRunning = true
@@ -47,12 +49,12 @@
         val state = ControlState()
         val settings = ReplicatedLogSettings(
             name,
-            bootstrap,
+            bootstrap(),
             mayFound,
             snapshotEntries = 50,
             trailingEntries = 5,
         )
-        val log =
+        log =
             ReplicatedLog.open(settings, storage, state, network.random, network.time.markNow())
                 .getOrThrow { IllegalStateException(it.message) }
         return ControllerCore(
@@ -69,6 +71,18 @@
 
     private fun emptyStorage() = MemoryLogStorage(network.random.nextLong())
 
+    /** Identity that its disk gives this controller. */
+    val identity: Long get() = log.identity
+
+    val members: Membership get() = log.membership
+
+    override fun toString(): String {
+        val members = log.membership.members.entries
+            .joinToString { (name, member) -> "$name${if (member.isVoter) "" else "?"}" }
+        return "$name ${if (isRunning) log.role else "DOWN"} of $members, " +
+            "term ${log.term}, commit ${log.commitIndex}"
+    }
+
     fun restart() {
         stop()
         start()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import org.hibiscusproxy.model.ProcessName
 
 /**
@@ -10,15 +11,21 @@
  *   the old identity is removed and the new one added as a non-voter;
  * - a process with a new name is added as a non-voter;
  * - a non-voter that has caught up is promoted;
- * - a member that has not answered for [unreachableLimit] is removed, but only if at least
- *   [minimumVoters] voters remain.
+ * - a non-voter that has not answered for [unreachableLimit] is removed;
+ * - while there are more than [minimumVoters] voters, one that has not answered for
+ *   [surplusVoterLimit] is removed, the one that has been silent for longest first.
  *
- * No vote counts twice, because votes belong to identities, and an identity is lost with its disk.
+ * The voter that a new one replaces is silent by then and must not stay: it raises the majority
+ * without ever voting, so that the loss of one more voter would leave none. No vote counts twice, because votes belong to identities, and an identity is lost with its disk.
  * A process that lost its disk votes only after a leader with every committed entry has sent them
  * to it. Keeping [minimumVoters] (twice the tolerated losses plus one) voters ensures that an
  * unreachable member with an intact disk still counts if another one loses its disk meanwhile.
  */
-class MembershipReconciler(private val minimumVoters: Int, private val unreachableLimit: Duration) {
+class MembershipReconciler(
+    private val minimumVoters: Int,
+    private val unreachableLimit: Duration,
+    private val surplusVoterLimit: Duration = DEFAULT_SURPLUS_VOTER_LIMIT,
+) {
     init {
         require(minimumVoters > 0) { "minimumVoters must be positive: $minimumVoters" }
     }
@@ -47,14 +54,24 @@
 
     private fun removal(view: MemberView, now: ComparableTimeMark): MembershipChange? {
         val membership = view.membership
+        val hasSurplusVoter = membership.voters.size > minimumVoters
         return membership.members.keys
-            .filter { now - (view.lastContact(it) ?: return@filter false) > unreachableLimit }
-            .filter { !membership.members.getValue(it).isVoter || canRemoveVoter(membership) }
-            .map { MembershipChange.Remove(it) }
+            .mapNotNull { process -> view.lastContact(process)?.let { process to now - it } }
+            .filter { (process, silence) ->
+                when {
+                    !membership.members.getValue(process).isVoter -> silence > unreachableLimit
+                    else -> hasSurplusVoter && silence > surplusVoterLimit
+                }
+            }
+            .sortedByDescending { (_, silence) -> silence }
+            .map { (process, _) -> MembershipChange.Remove(process) }
             .firstOrNull(view::isPossible)
     }
 
-    private fun canRemoveVoter(membership: Membership) = membership.voters.size > minimumVoters
+    private companion object {
+        /** Longer than a pause of a running process; a removed member that returns rejoins. */
+        val DEFAULT_SURPLUS_VOTER_LIMIT = 1.seconds
+    }
 }
 
 /** A leader's view of the members. */
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/MembershipReconcilerTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/MembershipReconcilerTest.kt
@@ -4,6 +4,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 import org.hibiscusproxy.model.ProcessName
@@ -88,18 +89,43 @@
         }
 
         @Test
-        fun `are removed once their successor votes`() {
-            time += 11.seconds
+        fun `are removed soon after their successor votes`() {
+            time += 1_100.milliseconds
             val view = View(three + ("d" to 4L), contacts = contacts)
             val expected = MembershipChange.Remove(ProcessName("c"))
             assertEquals(expected, reconciler.next(view, time.markNow()))
         }
 
         @Test
-        fun `stay for the limit`() {
-            time += 9.seconds
+        fun `stay for the limit of surplus voters`() {
+            time += 900.milliseconds
             val view = View(three + ("d" to 4L), contacts = contacts)
             assertNull(reconciler.next(view, time.markNow()))
         }
+
+        @Test
+        fun `are removed one by one, the longest silent first`() {
+            time += 1.seconds
+            val both = contacts + ("b" to time.markNow())
+            time += 1_100.milliseconds
+            val view = View(three + mapOf("d" to 4L, "e" to 5L), contacts = both)
+            val expected = MembershipChange.Remove(ProcessName("c"))
+            assertEquals(expected, reconciler.next(view, time.markNow()))
+        }
+    }
+
+    @Nested
+    inner class SilentNonVoters {
+        @Test
+        fun `stay for the limit and are then removed`() {
+            val promote = MembershipChange.Promote(ProcessName("d"))
+            val contacts = mapOf("d" to start)
+            val view = View(three, mapOf("d" to 4L), contacts = contacts, refused = setOf(promote))
+            time += 9.seconds
+            assertNull(reconciler.next(view, time.markNow()))
+            time += 2.seconds
+            val expected = MembershipChange.Remove(ProcessName("d"))
+            assertEquals(expected, reconciler.next(view, time.markNow()))
+        }
     }
 }
