--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/CrashService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/CrashService.kt
@@ -38,6 +38,7 @@
     private var sentSuspects: Set<Fingerprint> = emptySet()
     private var checkedAt: ComparableTimeMark = time.markNow()
     private var isProposed = false
+    private var loggedSuspects: Map<Fingerprint, Int> = emptyMap()
 
     fun receive(evidence: CrashEvidence) {
         evidence.crashes.forEach { crash ->
@@ -83,12 +84,24 @@
         analysis.explain(causes())
         if (isProposed) return
         val causes = analysis.causes(state.knownCrashCauses) + narrowedCauses()
-        if (causes.isEmpty()) return
+        if (causes.isEmpty()) return logUndecided()
         LOG.warn("controller: targets crash on {}, {} crashes open", causes, analysis.unexplained)
         isProposed = true
         proposals.propose(RefuseRequests(causes.toList(), now)) { isProposed = false }
     }
 
+    private fun logUndecided() {
+        val suspects = analysis.leadingSuspects()
+        if (suspects == loggedSuspects) return
+        loggedSuspects = suspects
+        if (suspects.isEmpty()) return
+        LOG.info(
+            "controller: no cause found of {} crashes, suspects by crashes {}",
+            analysis.unexplained,
+            suspects,
+        )
+    }
+
     /** Refused causes without those fingerprints that were answered well since. */
     private fun narrowedCauses(): List<Set<Fingerprint>> = refusals
         .filter { it.fingerprints.size > 1 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
@@ -58,6 +58,13 @@
     fun hasSurvivedAnswer(fingerprint: Fingerprint, age: Duration): Boolean =
         survivedAt[fingerprint].let { it != null && it.elapsedNow() < age }
 
+    /** The suspects of most crashes without a known cause, with the number of these crashes. */
+    fun leadingSuspects(): Map<Fingerprint, Int> =
+        evidence(crashes.filterNot { it.isExplained }).entries
+            .sortedByDescending { occasions(it.value) }
+            .take(LEADING_SUSPECTS)
+            .associate { it.key to occasions(it.value) }
+
     /** Suspect fingerprints with the time since their first crash; those of most crashes first. */
     fun suspects(): Map<Fingerprint, Duration> {
         expire()
@@ -227,6 +234,7 @@
         private const val MAXIMUM_CRASHES = 256
         private const val MAXIMUM_REPORTED_SUSPECTS = 64
         private const val MAXIMUM_SURVIVED = 4_096
+        private const val LEADING_SUSPECTS = 5
 
         /** Crashes with a fingerprint that may be due to something else. */
         private const val TOLERATED_COINCIDENCES = 1
