--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashObserver.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashObserver.kt
@@ -29,6 +29,9 @@
     /** Whether any fingerprint is a suspect. */
     val hasSuspects: Boolean get() = suspectSince.isNotEmpty()
 
+    /** Whether a request with [fingerprints] whose target has just ended may go to another one. */
+    fun maySendAgain(fingerprints: Collection<Fingerprint>): Boolean = true
+
     /** Records that [target] ended when it had just begun to answer the requests [suspects]. */
     fun recordCrash(target: TargetName, suspects: Collection<Set<Fingerprint>>) {
         sequence += 1
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
@@ -12,9 +12,10 @@
 import org.hibiscusproxy.protocol.Suspect
 
 /**
- * Simulates entries, controllers and engines in virtual time. Some parts of prompts crash each
- * engine that begins to answer them. Meanwhile engines end for other reasons, entries and leaders
- * restart, and entries are cut off.
+ * Simulates entries, controllers and engines in virtual time. Some parts of prompts, or some whole
+ * requests, crash each engine that begins to answer them. Meanwhile engines end for other reasons,
+ * entries and leaders restart, and entries are cut off. An entry sends a request whose engine ended
+ * to another one, and callers repeat whole requests that failed.
  *
  * @param restartMilliseconds time for which an engine is gone after it ended
  */
@@ -22,7 +23,17 @@
     seed: Int,
     private val engines: Int = 6,
     private val restartMilliseconds: IntRange = 1_500..5_000,
+    private val kind: Kind = Kind.PARTS,
 ) {
+    /** What crashes engines. */
+    enum class Kind {
+        PARTS,
+        REQUESTS_WITH_PROMPTS,
+
+        /** The engine ends before it answers, and suspects have no parts. */
+        PLAIN_REQUESTS,
+    }
+
     private val random = Random(seed)
     private val time = TestTimeSource()
     private val startedAt = time.markNow()
@@ -47,7 +58,9 @@
         val first = Fingerprint(1)
         val prompts = List(random.nextInt(1, 3)) { index ->
             val cause = Fingerprint(100L + index)
+            if (kind == Kind.PLAIN_REQUESTS) return@List listOf(cause) to cause
             val sound = listOf(first, Fingerprint(random.nextLong(10, 10L + SUBJECTS)))
+            if (kind == Kind.REQUESTS_WITH_PROMPTS) return@List sound + cause to cause
             when (random.nextInt(3)) {
                 0 -> listOf(cause, sound[1])
                 1 -> listOf(first, cause, sound[1])
@@ -93,7 +106,17 @@
         events.remove(next)?.forEach { it() }
     }
 
-    private fun soundPrompt() = listOf(Fingerprint(1), Fingerprint(10 + skewed(SUBJECTS)))
+    private fun soundPrompt(): List<Fingerprint> {
+        val subject = Fingerprint(10 + skewed(SUBJECTS))
+        return when (kind) {
+            Kind.PARTS -> listOf(Fingerprint(1), subject)
+
+            Kind.REQUESTS_WITH_PROMPTS ->
+                listOf(Fingerprint(1), subject, Fingerprint(random.nextLong(1_000, Long.MAX_VALUE)))
+
+            Kind.PLAIN_REQUESTS -> listOf(subject)
+        }
+    }
 
     /** Low numbers are far more frequent than high ones. */
     private fun skewed(size: Int): Long =
@@ -101,11 +124,19 @@
 
     private fun causePrompt() = causePrompts.random(random)
 
-    private fun arrive(parts: List<Fingerprint>) {
-        val entry = entries.random(random)
+    private fun arrive(parts: List<Fingerprint>, repeats: Int = REPEATS) =
+        send(entries.random(random), parts, repeats, isSecondTry = false)
+
+    private fun send(
+        entry: Entry,
+        parts: List<Fingerprint>,
+        repeats: Int,
+        isSecondTry: Boolean,
+    ) {
         val isRefused = entry.refused.any { parts.containsAll(it) }
         if (parts.none { it in causes }) soundArrivals += SoundArrival(elapsed(), isRefused)
         if (isRefused) return
+        if (isSecondTry && !entry.observer.maySendAgain(parts)) return repeat(parts, repeats)
         val running = targets.filter { it.isRunning }
         val preferred = targets[(parts.last().value % engines).toInt()]
         val isPreferred = preferred.isRunning && random.nextInt(10) < 7
@@ -114,7 +145,21 @@
         parts.filter { it in causes && !isBefore() && isCounted }.forEach {
             arrivals.getOrPut(it) { mutableListOf() } += elapsed()
         }
-        target.receive(Answer(entry, parts))
+        target.receive(Answer(entry, parts, repeats, isSecondTry))
+    }
+
+    /** Tries another engine at once, and has the caller come again if that was tried already. */
+    private fun fail(answer: Answer) {
+        if (kind == Kind.PARTS) return
+        if (answer.isSecondTry) return repeat(answer.parts, answer.repeats)
+        after(5.milliseconds) {
+            send(answer.entry, answer.parts, answer.repeats, isSecondTry = true)
+        }
+    }
+
+    private fun repeat(parts: List<Fingerprint>, repeats: Int) {
+        if (repeats == 0) return
+        after(milliseconds(100..600)) { arrive(parts, repeats - 1) }
     }
 
     private fun disturb() {
@@ -171,15 +216,21 @@
         val refusedCount = late.count { it.isRefused }
         if (refusedCount * 2 > late.size) violations += "$refusedCount of ${late.size} refused"
         for (cause in causes) {
-            val fifth = crashes[cause].orEmpty().getOrNull(4) ?: continue
-            val late = arrivals[cause].orEmpty().count { it > fifth + CONTACT_TIME }
+            val allowed = if (kind == Kind.PARTS) 5 else 3
+            val last = crashes[cause].orEmpty().getOrNull(allowed - 1) ?: continue
+            val late = arrivals[cause].orEmpty().count { it > last + CONTACT_TIME }
             if (late > 3) violations += "$late arrivals of $cause later than the limit"
         }
     }
 
     private class SoundArrival(val at: Duration, val isRefused: Boolean)
 
-    private inner class Answer(val entry: Entry, val parts: List<Fingerprint>) {
+    private inner class Answer(
+        val entry: Entry,
+        val parts: List<Fingerprint>,
+        val repeats: Int,
+        val isSecondTry: Boolean,
+    ) {
         var begunAt: ComparableTimeMark? = null
     }
 
@@ -250,18 +301,26 @@
             after(length) { answers -= answer }
         }
 
+        /** Fingerprints of [answer] that may be the cause of a crash now. */
+        private fun suspect(answer: Answer): Set<Fingerprint>? {
+            val isBegun = answer.begunAt != null
+            val isRecent = answer.begunAt?.let { it.elapsedNow() < CrashAnalysis.ANSWER_START }
+            return when {
+                isRecent == true -> answer.parts.toSet()
+                kind == Kind.PARTS || isBegun -> null
+                else -> setOf(answer.parts.last())
+            }
+        }
+
         fun crash(cause: Fingerprint? = null) {
             if (!isRunning) return
             cause?.let { crashes.getOrPut(it) { mutableListOf() } += elapsed() }
             isRunning = false
             val name = TargetName("engine-$number-$incarnation")
             incarnation += 1
+            answers.forEach(::fail)
             answers.groupBy { it.entry }.forEach { (entry, broken) ->
-                val suspects = broken
-                    .filter { answer ->
-                        answer.begunAt?.let { it.elapsedNow() < CrashAnalysis.ANSWER_START } == true
-                    }
-                    .map { it.parts.toSet() }
+                val suspects = broken.mapNotNull { suspect(it) }
                 val observer = entry.observer
                 if (suspects.isNotEmpty()) {
                     after(50.milliseconds) { observer.recordCrash(name, suspects.distinct()) }
@@ -277,6 +336,9 @@
         const val CONTROLLERS = 3
         const val DATA_CENTERS = 3
         const val SUBJECTS = 60
+
+        /** Times that a caller comes again with a request that failed. */
+        const val REPEATS = 3
         const val LENGTH_MILLISECONDS = 40_000
         val CONTACT_TIME = 3.seconds
     }
