Refuse possible causes of crashes for seconds until they can be told apart

Cause: a request was refused only once it was a suspect of more crashes than every other. Sound requests that broke off come again with the same fingerprint; with few targets nothing is answered meanwhile, so nothing clears them, and the cause waits as well. Class: a decision that waits for evidence which its own delay prevents. Change: suspects of enough crashes that cannot be told apart are all refused for 5 s and more, ending one by one. Sound ones are answered then; the cause ends one more target, which sets it apart. Each further refusal takes twice as long. What most requests have is never refused this way. A request under which a target ended before is not sent on to a second one when the next ends. Crashes are reported at once.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/CrashService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/CrashService.kt
@@ -9,6 +9,7 @@
 import org.hibiscusproxy.control.FleetInstant
 import org.hibiscusproxy.control.RefuseRequests
 import org.hibiscusproxy.forwarding.CrashAnalysis
+import org.hibiscusproxy.forwarding.ProvisionalRefusals
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.CrashEvidence
 import org.hibiscusproxy.protocol.CrashSuspects
@@ -21,8 +22,8 @@
 /**
  * Finds requests that crash targets from the evidence of all forwarders, and lets all forwarders
  * refuse them. Every controller collects the evidence, so that a new leader has it; only the leader
- * decides. Refusals are part of the replicated state and survive the loss of all processes. Used by
- * the worker only.
+ * decides. Refusals are part of the replicated state and survive the loss of all processes, except
+ * for the [ProvisionalRefusals] of a leader, which end after seconds. Used by the worker only.
  *
  * @param broadcast sends a message to all forwarders that are connected to this controller
  */
@@ -34,6 +35,7 @@
     private val broadcast: (ControlMessage) -> Unit,
 ) {
     private val analysis = CrashAnalysis(time)
+    private var provisional = ProvisionalRefusals(time)
     private var refusals: List<ActiveRefusal> = emptyList()
     private var sentSuspects: Set<Fingerprint> = emptySet()
     private var checkedAt: ComparableTimeMark = time.markNow()
@@ -52,7 +54,7 @@
 
     /** Messages for a forwarder that has just connected. */
     fun initialMessages(): List<ControlMessage> = listOfNotNull(
-        refusalList().takeIf { refusals.isNotEmpty() },
+        refusalList().takeIf { it.refusals.isNotEmpty() },
         suspectList().takeIf { leadership.active() != null && sentSuspects.isNotEmpty() },
     )
 
@@ -64,9 +66,11 @@
         checkedAt = time.markNow()
         if (leader == null) {
             sentSuspects = emptySet()
+            provisional = ProvisionalRefusals(time)
             return
         }
         refuseCauses(leader.fleetTime(time.markNow()))
+        refuseProvisionally()
         sendSuspects()
     }
 
@@ -90,6 +94,12 @@
         proposals.propose(RefuseRequests(causes.toList(), now)) { isProposed = false }
     }
 
+    private fun refuseProvisionally() {
+        if (isProposed || !provisional.update(analysis.undecidedCauses(causes()))) return
+        LOG.info("controller: refused until they can be told apart: {}", provisional.active)
+        broadcast(refusalList())
+    }
+
     private fun logUndecided() {
         val suspects = analysis.leadingSuspects()
         if (suspects == loggedSuspects) return
@@ -129,9 +139,11 @@
         suspects().map { (fingerprint, age) -> Suspect(fingerprint, age.inWholeMilliseconds) },
     )
 
-    private fun refusalList() = RefusalList(
-        refusals.map { Refusal(it.fingerprints, it.remaining.inWholeMilliseconds) },
-    )
+    private fun refusalList(): RefusalList {
+        val remaining =
+            provisional.active + refusals.associate { it.fingerprints to it.remaining }
+        return RefusalList(remaining.map { Refusal(it.key, it.value.inWholeMilliseconds) })
+    }
 
     private companion object {
         val CHECK_INTERVAL = 100.milliseconds
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CrashDetector.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CrashDetector.kt
@@ -20,6 +20,7 @@
     private val pool: TargetPool,
     private val selector: TargetSelector,
     private val observer: CrashObserver,
+    private val onCrash: () -> Unit,
 ) {
     private val pending = HashMap<TargetName, LinkedHashSet<Set<Fingerprint>>>()
 
@@ -43,6 +44,7 @@
             is ConnectResult.Failed -> if (result.isRefused) {
                 LOG.info("forwarder: event=crash target={} suspects={}", target.name, suspects)
                 observer.recordCrash(target.name, suspects)
+                onCrash()
             }
         }
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -217,6 +217,8 @@
             // The output of another execution can only be joined at an event boundary.
             isHeadSent && events == null -> false
             isNotExecuted -> true
+            reason == FinalReason.TARGET_LOST && !node.crashes.maySendAgain(fingerprints.request) ->
+                false
             else -> isRepeatable && possibleExecutions < (route?.maximumTargets ?: 1)
         }
         val willRetry = isAllowed && (ended.wasNotSent || acquireRetry())
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -90,6 +90,8 @@
         feed.start()
         Gauge.builder("forwarder.crash.refusals") { node.refusals.size.toDouble() }
             .register(context.registry)
+        // Requests that crash targets come at other forwarders until the controllers know of it.
+        node.onCrash = { scope.launch { shareEvidence() } }
         scope.launch { reportLoads() }
     }
 
@@ -118,12 +120,14 @@
         while (scope.isActive) {
             delay(REPORT_INTERVAL)
             feed.report(withContext(loop.asCoroutineDispatcher()) { node.currentLoad() })
-            feed.shareEvidence(node.crashes.sequence) { sent ->
-                withContext(loop.asCoroutineDispatcher()) { node.crashes.evidenceAfter(sent) }
-            }
+            shareEvidence()
         }
     }
 
+    private suspend fun shareEvidence() = feed.shareEvidence(node.crashes.sequence) { sent ->
+        withContext(loop.asCoroutineDispatcher()) { node.crashes.evidenceAfter(sent) }
+    }
+
     /**
      * Reports itself as not ready, continues to serve until the platform sends no new connections,
      * then closes idle connections and waits for the requests in progress. Returns the number of
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -42,7 +42,7 @@
     val pool = TargetPool(loop, wire)
     val crashes = CrashObserver(time)
     val refusals = RefusedRequests(time)
-    val crashDetector = CrashDetector(loop, pool, selector, crashes)
+    val crashDetector = CrashDetector(loop, pool, selector, crashes) { onCrash() }
     val log = RequestLog(registry, time)
     val origins = StreamOrigins(time)
     val lookup = StreamLookup(loop, time, controllers::sendToAll)
@@ -64,6 +64,9 @@
     /** Whether the forwarder shuts down gracefully; responses then close their connections. */
     var isDraining = false
 
+    /** Called when a target has crashed. */
+    var onCrash: () -> Unit = {}
+
     /** Number of requests in progress. */
     var activeExchanges = 0
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CrashServiceTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CrashServiceTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.hibiscusproxy.model.TargetName
@@ -45,6 +46,21 @@
             assertEquals(List(3) { setOf(setOf(part)) }, entries.map(::refusals))
         }
 
+        @Test
+        fun `of requests that cannot be told apart reach all forwarders and end after seconds`() {
+            repeat(3) { number ->
+                val requests = listOf(setOf(part), setOf(base))
+                val crash = ObservedCrash(TargetName("target-$number"), 0, requests)
+                fixture.deliver(entries[number], CrashEvidence(listOf(crash), emptyList()))
+                fixture.elapse(300.milliseconds)
+            }
+            fixture.elapse(1.seconds)
+            assertEquals(List(3) { setOf(setOf(part), setOf(base)) }, entries.map(::refusals))
+            val longest = entries[0].received.filterIsInstance<RefusalList>()
+                .flatMap { it.refusals }.maxOf { it.remainingMilliseconds }
+            assertTrue(longest <= 6_000, "$longest ms")
+        }
+
         @Test
         fun `are the first message to a forwarder that connects`() {
             repeat(3) { number ->
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
@@ -33,7 +33,8 @@
     private val time = TestTimeSource()
     private val state = ControlState()
     private var isLeading = true
-    private val feed = EntryFeed(state, time, { time.markNow().takeIf { isLeading } }, { emptyList() })
+    private val feed =
+        EntryFeed(state, time, { time.markNow().takeIf { isLeading } }, { emptyList() })
 
     /** Records the messages sent to an entry. */
     private class Entry(name: String) : PeerSession {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
@@ -88,6 +88,25 @@
         }
     }
 
+    /**
+     * Returns what might be the cause of as many crashes as [causes] requires, but cannot be told
+     * from other suspects, with the number of these crashes. Refusing it for a short time stops the
+     * crashes if it is the cause, and lets its next answer tell whether it is.
+     */
+    fun undecidedCauses(refused: Collection<Set<Fingerprint>>): Map<Set<Fingerprint>, Int> {
+        val open = crashes.filter { !it.isExplained && !it.isExplainedBy(refused) }
+        val undecided = LinkedHashMap<Set<Fingerprint>, Int>()
+        for ((fingerprint, own) in evidence(open).entries) {
+            val count = occasions(own)
+            val required = requiredCrashes(fingerprint, own, refused)
+            // A refusal of what most requests have would stop the service.
+            if (isCommon(fingerprint, own)) continue
+            if (count < required || own.first().at.elapsedNow() < ANSWER_REPORT_TIME) continue
+            undecided.merge(mostSpecificCause(fingerprint, own, required), count, ::maxOf)
+        }
+        return undecided
+    }
+
     private fun nextCause(
         evidence: Map<Fingerprint, List<Crash>>,
         refused: Collection<Set<Fingerprint>>,
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashObserver.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashObserver.kt
@@ -29,8 +29,16 @@
     /** Whether any fingerprint is a suspect. */
     val hasSuspects: Boolean get() = suspectSince.isNotEmpty()
 
-    /** Whether a request with [fingerprints] whose target has just ended may go to another one. */
-    fun maySendAgain(fingerprints: Collection<Fingerprint>): Boolean = true
+    /**
+     * Whether [request], whose target has just ended, may be sent to another one. Not if targets
+     * ended under it before, since it may be what ends them.
+     */
+    fun maySendAgain(request: Fingerprint): Boolean {
+        val answered = answeredAt[request]
+        return request !in suspectSince && crashes.none { crash ->
+            (answered == null || answered < crash.at) && crash.suspects.any { request in it }
+        }
+    }
 
     /** Records that [target] ended when it had just begun to answer the requests [suspects]. */
     fun recordCrash(target: TargetName, suspects: Collection<Set<Fingerprint>>) {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
@@ -43,6 +43,7 @@
     private val controllers = MutableList(CONTROLLERS) { CrashAnalysis(time) }
     private var leader = 0
     private val refused = LinkedHashMap<Set<Fingerprint>, ComparableTimeMark>()
+    private var provisional = ProvisionalRefusals(time)
 
     private val causes: Set<Fingerprint>
     private val causePrompts: List<List<Fingerprint>>
@@ -51,6 +52,14 @@
     private val soundArrivals = mutableListOf<SoundArrival>()
     private val arrivals = HashMap<Fingerprint, MutableList<Duration>>()
 
+    /** Sound requests after the crashes were to be over, and those of them that were refused. */
+    var soundLate = 0
+        private set
+    var soundRefused = 0
+        private set
+
+    private val disturbances = ArrayList<String>()
+
     /** Broken bounds of the users' rules on requests that crash targets, if any. */
     val violations = mutableListOf<String>()
 
@@ -127,16 +136,11 @@
     private fun arrive(parts: List<Fingerprint>, repeats: Int = REPEATS) =
         send(entries.random(random), parts, repeats, isSecondTry = false)
 
-    private fun send(
-        entry: Entry,
-        parts: List<Fingerprint>,
-        repeats: Int,
-        isSecondTry: Boolean,
-    ) {
+    private fun send(entry: Entry, parts: List<Fingerprint>, repeats: Int, isSecondTry: Boolean) {
         val isRefused = entry.refused.any { parts.containsAll(it) }
         if (parts.none { it in causes }) soundArrivals += SoundArrival(elapsed(), isRefused)
         if (isRefused) return
-        if (isSecondTry && !entry.observer.maySendAgain(parts)) return repeat(parts, repeats)
+        if (isSecondTry && !entry.observer.maySendAgain(parts.last())) return repeat(parts, repeats)
         val running = targets.filter { it.isRunning }
         val preferred = targets[(parts.last().value % engines).toInt()]
         val isPreferred = preferred.isRunning && random.nextInt(10) < 7
@@ -163,7 +167,9 @@
     }
 
     private fun disturb() {
-        when (random.nextInt(5)) {
+        val disturbance = random.nextInt(5)
+        disturbances += "$disturbance at ${elapsed()}"
+        when (disturbance) {
             0 -> targets.filter { it.number % DATA_CENTERS == 0 }.forEach { it.crash() }
 
             1 -> targets.random(random).crash()
@@ -174,6 +180,7 @@
                 controllers[leader] = CrashAnalysis(time)
                 entries.forEach { it.sent[leader] = 0 }
                 leader = (leader + 1) % CONTROLLERS
+                provisional = ProvisionalRefusals(time)
             }
 
             else -> entries.random(random).cutOff(milliseconds(500..4_000))
@@ -185,13 +192,14 @@
         analysis.explain(refused.keys)
         analysis.causes(refused.keys).forEach { refused[it] = time.markNow() }
         narrow(analysis)
+        provisional.update(analysis.undecidedCauses(refused.keys))
         val ambiguous = refused.filterKeys { it.size > 1 }
             .flatMap { (cause, at) -> cause.map { it to at.elapsedNow() } }
         val suspects = CrashSuspects(
             (ambiguous.toMap() + analysis.suspects())
                 .map { Suspect(it.key, it.value.inWholeMilliseconds) },
         )
-        val causes = refused.keys.toSet()
+        val causes = refused.keys + provisional.active.keys
         entries.forEach { entry ->
             after(milliseconds(2..60)) {
                 if (entry.isCutOff) return@after
@@ -214,12 +222,17 @@
         val limit = crashes.values.mapNotNull { it.getOrNull(4) ?: it.lastOrNull() }.maxOrNull()
         val late = soundArrivals.filter { limit != null && it.at > limit + CONTACT_TIME * 2 }
         val refusedCount = late.count { it.isRefused }
+        soundRefused += refusedCount
+        soundLate += late.size
         if (refusedCount * 2 > late.size) violations += "$refusedCount of ${late.size} refused"
         for (cause in causes) {
             val allowed = if (kind == Kind.PARTS) 5 else 3
             val last = crashes[cause].orEmpty().getOrNull(allowed - 1) ?: continue
-            val late = arrivals[cause].orEmpty().count { it > last + CONTACT_TIME }
-            if (late > 3) violations += "$late arrivals of $cause later than the limit"
+            val late = arrivals[cause].orEmpty().filter { it > last + CONTACT_TIME }
+            if (late.size > 3) {
+                violations += "${late.size} arrivals of $cause later than the limit: $late, " +
+                    "crashes ${crashes[cause]}, disturbances $disturbances"
+            }
         }
     }
 
@@ -323,7 +336,10 @@
                 val suspects = broken.mapNotNull { suspect(it) }
                 val observer = entry.observer
                 if (suspects.isNotEmpty()) {
-                    after(50.milliseconds) { observer.recordCrash(name, suspects.distinct()) }
+                    after(50.milliseconds) {
+                        observer.recordCrash(name, suspects.distinct())
+                        if (observer === entry.observer) entry.report()
+                    }
                 }
             }
             answers.clear()
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashingRequestSimulationTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashingRequestSimulationTest.kt
@@ -39,10 +39,15 @@
     }
 
     private fun assertRefused(kind: CrashSimulation.Kind, engines: Int) {
+        var refused = 0
+        var late = 0
         val violations = (1..seeds).flatMap { seed ->
             val simulation = CrashSimulation(seed, engines, kind = kind).apply { run() }
+            refused += simulation.soundRefused
+            late += simulation.soundLate
             simulation.violations.map { "seed $seed: $it" }
         }
+        println("$kind, $engines targets: $refused of $late sound requests refused")
         assertEquals("", violations.joinToString("\n"))
     }
 }
