--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/PlatformReader.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/PlatformReader.kt
@@ -6,7 +6,6 @@
 import kotlin.time.toJavaDuration
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -14,6 +13,7 @@
 import kotlinx.serialization.json.Json
 import okhttp3.OkHttpClient
 import okhttp3.Request
+import org.hibiscusproxy.daemon.repeatGuarded
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -49,7 +49,7 @@
 
     fun start(scope: CoroutineScope) {
         scope.launch {
-            while (isActive) {
+            repeatGuarded("controller") {
                 if (isLeader()) read()?.let { onList(it) }
                 delay(interval)
             }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/TargetDiscovery.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/TargetDiscovery.kt
@@ -3,8 +3,8 @@
 import kotlin.time.Duration
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.slf4j.LoggerFactory
 
@@ -22,29 +22,31 @@
 
     fun start(scope: CoroutineScope) {
         scope.launch {
-            while (isActive) {
-                when (val listing = reader.read()) {
-                    is TargetListing.Listed -> {
-                        if (isUnreadable) LOG.info("controller: target list is readable again")
-                        isUnreadable = false
-                        onTargets(listing.targets)
-                    }
-
-                    is TargetListing.Failed -> {
-                        if (!isUnreadable) {
-                            LOG.warn(
-                                "controller: cannot read the target list, keeping the last targets: {}",
-                                listing.cause,
-                            )
-                        }
-                        isUnreadable = true
-                    }
-                }
+            repeatGuarded("controller") {
+                update(reader.read())
                 delay(interval)
             }
         }
     }
 
+    private suspend fun update(listing: TargetListing) = when (listing) {
+        is TargetListing.Listed -> {
+            if (isUnreadable) LOG.info("controller: target list is readable again")
+            isUnreadable = false
+            onTargets(listing.targets)
+        }
+
+        is TargetListing.Failed -> {
+            if (!isUnreadable) {
+                LOG.warn(
+                    "controller: cannot read the target list, keeping the last targets: {}",
+                    listing.cause,
+                )
+            }
+            isUnreadable = true
+        }
+    }
+
     override fun close() = reader.close()
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -9,8 +9,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.daemon.transport.PeerConnection
 import org.hibiscusproxy.daemon.transport.PeerTransport
 import org.hibiscusproxy.model.NetworkAddress
@@ -117,8 +117,8 @@
         private var retryDelay: Duration = MINIMUM_RETRY_DELAY
         private var wasConnected = false
 
-        suspend fun run() {
-            while (scope.isActive) {
+        suspend fun run(): Nothing {
+            repeatGuarded("forwarder") {
                 val newConnection = transport.connect(address).get()
                 if (newConnection == null) {
                     markDisconnected("connection failed")
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -13,11 +13,11 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.hibiscusproxy.daemon.Role
 import org.hibiscusproxy.daemon.RoleContext
+import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.transport.KtorPeerTransport
 import org.hibiscusproxy.daemon.transport.toTransportSettings
@@ -116,8 +116,8 @@
         isReady = node.isServing && !node.isDraining
     }
 
-    private suspend fun reportLoads() {
-        while (scope.isActive) {
+    private suspend fun reportLoads(): Nothing {
+        repeatGuarded("forwarder") {
             delay(REPORT_INTERVAL)
             feed.report(withContext(loop.asCoroutineDispatcher()) { node.currentLoad() })
             shareEvidence()
