Believe a refusal on a kept connection only if it can't be an earlier one

Another operator reported a faulty worker that wrote an earlier refusal once more on a kept connection: callers were told 'not run' for requests that ran, or these ran at a second worker. It happens here: a refusal without an identifier, or with that of an earlier try that was refused on the same connection, was taken for the present one. A repeated refusal with another request's identifier was skipped before, too. Change: on a connection that answered before, such a refusal closes the connection and promises nothing; the request may have run. Without an earlier response on the connection it still counts. Class: an answer is attributed by its place in a stream alone. Looked at elsewhere: the sidecar's client derives 'not run' from its own sending only, and does not reuse connections for requests that run once.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -34,7 +34,9 @@
 
 /**
  * A connection to a target, which carries one attempt at a time. Responses with the identifier of
- * another request are skipped; a response while no request is pending closes the connection.
+ * another request are skipped; a response while no request is pending closes the connection. So does
+ * a refusal that a faulty target may have written for an earlier request: it says nothing about
+ * whether the present one runs.
  */
 internal class TargetConnection(
     private val wire: WireFormat,
@@ -44,6 +46,9 @@
         private set
     private var listener: ResponseListener? = null
     private var requestIdentifier: String? = null
+
+    /** Identifiers of requests that were refused on this connection, the latest last. */
+    private val refusedIdentifiers = LinkedHashSet<String>()
     private var isRequestWritten = false
     private var isSkippingResponse = false
     private var isReadingResponse = false
@@ -128,6 +133,10 @@
             isSkippingResponse = true
             return
         }
+        if (metadata.execution != ExecutionStatus.MAY_HAVE_RUN) {
+            if (mayBeEarlierRefusal(metadata)) return fail("refusal may be of an earlier request")
+            requestIdentifier?.let(::recordRefused)
+        }
         isReadingResponse = true
         isKeepAlive = HttpUtil.isKeepAlive(response)
         idleLimit =
@@ -135,6 +144,16 @@
         currentListener.onHead(response, metadata)
     }
 
+    private fun mayBeEarlierRefusal(metadata: ResponseMetadata): Boolean =
+        isReused && (metadata.requestIdentifier == null || requestIdentifier in refusedIdentifiers)
+
+    private fun recordRefused(identifier: String) {
+        refusedIdentifiers += identifier
+        if (refusedIdentifiers.size > MAXIMUM_REFUSED_IDENTIFIERS) {
+            refusedIdentifiers.remove(refusedIdentifiers.first())
+        }
+    }
+
     private fun readContent(content: HttpContent) {
         val isLast = content is LastHttpContent
         if (isSkippingResponse) {
@@ -177,6 +196,7 @@
     }
 
     private companion object {
+        const val MAXIMUM_REFUSED_IDENTIFIERS = 16
         val INFORMATIONAL_STATUSES = 100..199
 
         /** Targets that close idle connections within a second do not state their timeout. */
