Begin streams only at registered versions, also if no target of them can be used

Another operator reported streams that began on workers of a new version through other machines, were taken up at a machine that was out of step and went on at another version. It can happen here: an entry began streams at a version that was not registered yet if no target of the registered ones could be used, because they had left or had just crashed. The leader, with an older list and without the report, then named the registered version to whoever took the stream up; a machine with an older list still has targets of that version. Evidence: OutOfStepEntryTest failed before (stream begun at v2 while the leader names v1). Change: as long as a version is registered, streams begin at registered ones only, and are otherwise refused with a time to come back. The leader registers a version when it next reads the list, within a second. While none is registered streams begin anywhere, since the leader then names none. Price: without a leader, streams are refused once all targets of the registered versions have left. StreamVersionSimulationTest, JoinedVersionsTest and TargetSelectorTest pass.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/VersionChoice.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/VersionChoice.kt
@@ -11,19 +11,17 @@
     data class Only(val version: SoftwareVersion?) : VersionChoice()
 
     /**
-     * The [versions] that the controllers have registered, or any if they have no target. A stream
-     * that begins at another version may be taken up before the controllers know of that version.
+     * The [versions] that the controllers have registered, or any while there are none. A stream
+     * that began at another one could be taken up while a leader still names a registered version.
      */
     data class Registered(val versions: Set<SoftwareVersion?>) : VersionChoice()
 
     internal fun matches(target: DiscoveredTarget): Boolean = when (this) {
         is Any -> true
         is Only -> version != null && target.version == version
-        is Registered -> target.version in versions
+        is Registered -> versions.isEmpty() || target.version in versions
     }
 
-    internal fun select(targets: List<TargetState>): List<TargetState> {
-        val matching = targets.filter { matches(it.listed) }
-        return if (this is Registered && matching.isEmpty()) targets else matching
-    }
+    internal fun select(targets: List<TargetState>): List<TargetState> =
+        targets.filter { matches(it.listed) }
 }
