Refuse requests at once if routing has been missing since the start for seconds

An entry without routing let each request wait for half of its time, 2.5 s at most, also when there had been no leader for long. Since starting entries wait for a confirmed leader, that would hold up every caller of an entry that starts without a majority of controllers. After 5 s without routing requests are refused at once, with a time to come back.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -70,6 +70,7 @@
     /** Number of requests in progress. */
     var activeExchanges = 0
 
+    private val startedAt = time.markNow()
     private var isStreamReportScheduled = false
     private val waitingExchanges = LinkedHashSet<Exchange>()
 
@@ -93,6 +94,10 @@
     /** Whether routes and targets are known, so that requests can be forwarded. */
     val isServing: Boolean get() = routes != null && selector.hasTargets
 
+    /** Whether routing has been missing for so long that requests should not wait for it. */
+    val isRoutingOverdue: Boolean
+        get() = routes == null && startedAt.elapsedNow() > ROUTING_LIMIT
+
     /** Applies [update] unless the active routing has the same or a newer revision. */
     fun applyRouting(update: RoutingUpdate) {
         if (update.revision <= revision) return
@@ -165,6 +170,9 @@
     private companion object {
         /** Collects the streams of a burst; those of the last instant are lost with the process. */
         const val STREAM_REPORT_DELAY_MILLISECONDS = 10L
+
+        /** Controllers that start with the forwarder have elected a leader well before. */
+        val ROUTING_LIMIT = 5.seconds
         val LOG = LoggerFactory.getLogger(ForwardingNode::class.java)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWait.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWait.kt
@@ -12,12 +12,12 @@
 
     /**
      * Has [exchange] started once routing and targets are known. Calls [onExpired] instead if that
-     * takes too long, of which [elapsed] has passed.
+     * takes too long, of which [elapsed] has passed, or at once if routing is long overdue.
      */
     fun begin(elapsed: Duration, onExpired: () -> Unit) {
         val callerTimeout = exchange.metadata.callerTimeout ?: MAXIMUM_WAIT
         val remaining = minOf(callerTimeout * WAIT_FRACTION, MAXIMUM_WAIT) - elapsed
-        if (!remaining.isPositive()) return onExpired()
+        if (node.isRoutingOverdue || !remaining.isPositive()) return onExpired()
         node.addWaiting(exchange)
         expiry = node.loop.schedule(
             {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
@@ -16,7 +16,9 @@
  *   [surplusVoterLimit] is removed, the one that has been silent for longest first.
  *
  * The voter that a new one replaces is silent by then and must not stay: it raises the majority
- * without ever voting, so that the loss of one more voter would leave none. No vote counts twice, because votes belong to identities, and an identity is lost with its disk.
+ * without ever voting, so that the loss of one more voter would leave none.
+ *
+ * No vote counts twice, because votes belong to identities, and an identity is lost with its disk.
  * A process that lost its disk votes only after a leader with every committed entry has sent them
  * to it. Keeping [minimumVoters] (twice the tolerated losses plus one) voters ensures that an
  * unreachable member with an intact disk still counts if another one loses its disk meanwhile.
