--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
@@ -347,15 +347,28 @@
         }
     }
 
-    private companion object {
-        const val ENTRIES = 8
-        const val CONTROLLERS = 3
-        const val DATA_CENTERS = 3
-        const val SUBJECTS = 60
+    companion object {
+        private const val ENTRIES = 8
+        private const val CONTROLLERS = 3
+        private const val DATA_CENTERS = 3
+        private const val SUBJECTS = 60
 
         /** Times that a caller comes again with a request that failed. */
-        const val REPEATS = 3
-        const val LENGTH_MILLISECONDS = 40_000
-        val CONTACT_TIME = 3.seconds
+        private const val REPEATS = 3
+        private const val LENGTH_MILLISECONDS = 40_000
+        private val CONTACT_TIME = 3.seconds
+
+        /** Runs [seeds] simulations; returns the broken bounds, one a line, and prints refusals. */
+        fun violations(seeds: Int, engines: Int, kind: Kind): String {
+            val simulations = (1..seeds).associateWith { seed ->
+                CrashSimulation(seed, engines, kind = kind).apply { run() }
+            }
+            val refused = simulations.values.sumOf { it.soundRefused }
+            val late = simulations.values.sumOf { it.soundLate }
+            println("$kind, $engines targets: $refused of $late sound requests refused")
+            return simulations
+                .flatMap { (seed, run) -> run.violations.map { "seed $seed: $it" } }
+                .joinToString("\n")
+        }
     }
 }
