Split the simulation of crashes by job

CrashSimulation.kt had 374 lines: workload, recorded events with their bounds, and the fleet itself. CrashWorkload and CrashRecorder take the first two.

--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
@@ -4,7 +4,6 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.CrashSuspects
@@ -45,40 +44,14 @@
     private val refused = LinkedHashMap<Set<Fingerprint>, ComparableTimeMark>()
     private var provisional = ProvisionalRefusals(time)
 
-    private val causes: Set<Fingerprint>
-    private val causePrompts: List<List<Fingerprint>>
     private val causeStart = Duration.ZERO + random.nextInt(2_000, 4_000).milliseconds
-    private val crashes = HashMap<Fingerprint, MutableList<Duration>>()
-    private val soundArrivals = mutableListOf<SoundArrival>()
-    private val arrivals = HashMap<Fingerprint, MutableList<Duration>>()
-
-    /** Sound requests after the crashes were to be over, and those of them that were refused. */
-    var soundLate = 0
-        private set
-    var soundRefused = 0
-        private set
-
+    private val workload = CrashWorkload(random, kind)
+    private val causes = workload.causes
+    private val record = CrashRecorder(startedAt, causes, kind)
     private val disturbances = ArrayList<String>()
 
     /** Broken bounds of the users' rules on requests that crash targets, if any. */
-    val violations = mutableListOf<String>()
-
-    init {
-        val first = Fingerprint(1)
-        val prompts = List(random.nextInt(1, 3)) { index ->
-            val cause = Fingerprint(100L + index)
-            if (kind == Kind.PLAIN_REQUESTS) return@List listOf(cause) to cause
-            val sound = listOf(first, Fingerprint(random.nextLong(10, 10L + SUBJECTS)))
-            if (kind == Kind.REQUESTS_WITH_PROMPTS) return@List sound + cause to cause
-            when (random.nextInt(3)) {
-                0 -> listOf(cause, sound[1])
-                1 -> listOf(first, cause, sound[1])
-                else -> listOf(first, cause)
-            } to cause
-        }
-        causePrompts = prompts.map { it.first }
-        causes = prompts.mapTo(LinkedHashSet()) { it.second }
-    }
+    val violations: List<String> get() = record.violations.map { "$it, disturbances $disturbances" }
 
     private fun elapsed() = startedAt.elapsedNow()
 
@@ -96,15 +69,19 @@
     private fun milliseconds(range: IntRange) = random.nextInt(range.first, range.last).milliseconds
 
     fun run() {
-        every(15.milliseconds) { arrive(soundPrompt()) }
+        every(15.milliseconds) { arrive(workload.soundPrompt()) }
         // A part may have been answered well for long before it begins to crash engines.
-        if (random.nextBoolean()) every(400.milliseconds) { if (isBefore()) arrive(causePrompt()) }
-        after(causeStart) { every(milliseconds(200..700)) { arrive(causePrompt()) } }
+        if (random.nextBoolean()) {
+            every(400.milliseconds) {
+                if (isBefore()) arrive(workload.causePrompt())
+            }
+        }
+        after(causeStart) { every(milliseconds(200..700)) { arrive(workload.causePrompt()) } }
         entries.forEach { entry -> every(250.milliseconds) { entry.report() } }
         every(100.milliseconds) { decide() }
         repeat(random.nextInt(0, 4)) { after(milliseconds(500..LENGTH_MILLISECONDS)) { disturb() } }
         while (elapsed() < LENGTH_MILLISECONDS.milliseconds) step()
-        check()
+        record.check()
     }
 
     private fun isBefore() = elapsed() < causeStart
@@ -115,30 +92,12 @@
         events.remove(next)?.forEach { it() }
     }
 
-    private fun soundPrompt(): List<Fingerprint> {
-        val subject = Fingerprint(10 + skewed(SUBJECTS))
-        return when (kind) {
-            Kind.PARTS -> listOf(Fingerprint(1), subject)
-
-            Kind.REQUESTS_WITH_PROMPTS ->
-                listOf(Fingerprint(1), subject, Fingerprint(random.nextLong(1_000, Long.MAX_VALUE)))
-
-            Kind.PLAIN_REQUESTS -> listOf(subject)
-        }
-    }
-
-    /** Low numbers are far more frequent than high ones. */
-    private fun skewed(size: Int): Long =
-        (size * random.nextDouble() * random.nextDouble()).toLong()
-
-    private fun causePrompt() = causePrompts.random(random)
-
     private fun arrive(parts: List<Fingerprint>, repeats: Int = REPEATS) =
         send(entries.random(random), parts, repeats, isSecondTry = false)
 
     private fun send(entry: Entry, parts: List<Fingerprint>, repeats: Int, isSecondTry: Boolean) {
         val isRefused = entry.refused.any { parts.containsAll(it) }
-        if (parts.none { it in causes }) soundArrivals += SoundArrival(elapsed(), isRefused)
+        record.arrived(parts, isRefused)
         if (isRefused) return
         if (isSecondTry && !entry.observer.maySendAgain(parts.last())) return repeat(parts, repeats)
         val running = targets.filter { it.isRunning }
@@ -146,9 +105,7 @@
         val isPreferred = preferred.isRunning && random.nextInt(10) < 7
         val target = if (isPreferred) preferred else running.randomOrNull(random) ?: return
         val isCounted = entry.inTouchFrom <= elapsed()
-        parts.filter { it in causes && !isBefore() && isCounted }.forEach {
-            arrivals.getOrPut(it) { mutableListOf() } += elapsed()
-        }
+        if (!isBefore() && isCounted) record.sentOn(parts)
         target.receive(Answer(entry, parts, repeats, isSecondTry))
     }
 
@@ -218,26 +175,6 @@
         }
     }
 
-    private fun check() {
-        val limit = crashes.values.mapNotNull { it.getOrNull(4) ?: it.lastOrNull() }.maxOrNull()
-        val late = soundArrivals.filter { limit != null && it.at > limit + CONTACT_TIME * 2 }
-        val refusedCount = late.count { it.isRefused }
-        soundRefused += refusedCount
-        soundLate += late.size
-        if (refusedCount * 2 > late.size) violations += "$refusedCount of ${late.size} refused"
-        for (cause in causes) {
-            val allowed = if (kind == Kind.PARTS) 5 else 3
-            val last = crashes[cause].orEmpty().getOrNull(allowed - 1) ?: continue
-            val late = arrivals[cause].orEmpty().filter { it > last + CONTACT_TIME }
-            if (late.size > 3) {
-                violations += "${late.size} arrivals of $cause later than the limit: $late, " +
-                    "crashes ${crashes[cause]}, disturbances $disturbances"
-            }
-        }
-    }
-
-    private class SoundArrival(val at: Duration, val isRefused: Boolean)
-
     private inner class Answer(
         val entry: Entry,
         val parts: List<Fingerprint>,
@@ -258,12 +195,12 @@
         fun restart() {
             observer = CrashObserver(time)
             sent.fill(0)
-            inTouchFrom = elapsed() + CONTACT_TIME
+            inTouchFrom = elapsed() + CrashRecorder.CONTACT_TIME
         }
 
         fun cutOff(duration: Duration) {
             cutOffUntil = elapsed() + duration
-            inTouchFrom = cutOffUntil + CONTACT_TIME
+            inTouchFrom = cutOffUntil + CrashRecorder.CONTACT_TIME
             sent.fill(0)
         }
 
@@ -327,7 +264,7 @@
 
         fun crash(cause: Fingerprint? = null) {
             if (!isRunning) return
-            cause?.let { crashes.getOrPut(it) { mutableListOf() } += elapsed() }
+            cause?.let(record::crashed)
             isRunning = false
             val name = TargetName("engine-$number-$incarnation")
             incarnation += 1
@@ -351,20 +288,18 @@
         private const val ENTRIES = 8
         private const val CONTROLLERS = 3
         private const val DATA_CENTERS = 3
-        private const val SUBJECTS = 60
 
         /** Times that a caller comes again with a request that failed. */
         private const val REPEATS = 3
         private const val LENGTH_MILLISECONDS = 40_000
-        private val CONTACT_TIME = 3.seconds
 
         /** Runs [seeds] simulations; returns the broken bounds, one a line, and prints refusals. */
         fun violations(seeds: Int, engines: Int, kind: Kind): String {
             val simulations = (1..seeds).associateWith { seed ->
                 CrashSimulation(seed, engines, kind = kind).apply { run() }
             }
-            val refused = simulations.values.sumOf { it.soundRefused }
-            val late = simulations.values.sumOf { it.soundLate }
+            val refused = simulations.values.sumOf { it.record.soundRefused }
+            val late = simulations.values.sumOf { it.record.soundLate }
             println("$kind, $engines targets: $refused of $late sound requests refused")
             return simulations
                 .flatMap { (seed, run) -> run.violations.map { "seed $seed: $it" } }
