Send nothing new to targets that say that they leave or want a pause

Seen: Server-Leaving and the Retry-After of a target's 503 were read nowhere on the path that entries forward on (by reading). A leaving target got requests until the list showed it, and an entry out of touch sends on for longer; a target that asked for a pause got the next request at once.

Change: one value a target, TargetNotice, beside drained, cold, suspended and limited rate. Both outlive a list that lacks the target for a moment. Connections to a leaving target are not kept, and an attempt whose connection is established after the statement goes elsewhere.

Path through sidecars: not changed.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
@@ -31,6 +31,9 @@
     /** All available targets get as many requests as they state to take. */
     RATE_LIMITED("rate-limited"),
 
+    /** All available targets stated that they want no request for some time. */
+    PAUSED("paused"),
+
     /** The request, or a part of its prompt, crashed several targets. */
     CRASHES_TARGETS("crashes-targets"),
 
@@ -66,6 +69,7 @@
             RefusalReason.OVERLOADED -> OVERLOADED
             RefusalReason.COLD -> COLD
             RefusalReason.RATE_LIMITED -> RATE_LIMITED
+            RefusalReason.PAUSED -> PAUSED
             RefusalReason.VERSION_GONE -> VERSION_GONE
         }
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -86,6 +86,16 @@
         LOG.info("forwarder: event=stated-rate target={} rate={}", target, rate)
     }
 
+    /** Logs that [target] stated for the first time that it leaves. */
+    fun statedLeaving(target: String) = write {
+        LOG.info("forwarder: event=stated-leaving target={}", target)
+    }
+
+    /** Logs that [target] stated a time to come back that cannot be read. */
+    fun unreadablePause(target: String) = write {
+        LOG.info("forwarder: event=unreadable-retry-after target={}", target)
+    }
+
     private fun write(line: () -> Unit) {
         if (secondStart.elapsedNow() >= 1.seconds) {
             secondStart = timeSource.markNow()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -16,6 +16,7 @@
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PlacedAttempt
 import org.hibiscusproxy.forwarding.RequestKind
+import org.hibiscusproxy.forwarding.StatedPause
 import org.hibiscusproxy.forwarding.StatedRate
 
 /**
@@ -76,6 +77,15 @@
                 "the request crashes targets",
                 isNotExecuted = true,
             )
+        } else if (!exchange.node.selector.takesRequests(target.name)) {
+            newConnection.cancel()
+            finish(AttemptResult.INCONCLUSIVE)
+            exchange.onAttemptFailed(
+                this,
+                FinalReason.TARGET_REFUSED,
+                "the target stated that it takes no requests",
+                isNotExecuted = true,
+            )
         } else {
             send(newConnection)
         }
@@ -151,7 +161,10 @@
     override fun onHead(response: HttpResponse, metadata: ResponseMetadata) {
         responseStatus = response.status().code()
         metadata.coldDuration?.let { exchange.node.selector.markCold(target.name, it) }
-        if (metadata.execution != ExecutionStatus.OTHER_TARGET) recordStatedRate(metadata)
+        if (metadata.execution != ExecutionStatus.OTHER_TARGET) {
+            recordStatedRate(metadata)
+            recordAcceptance(metadata)
+        }
         if (metadata.execution != ExecutionStatus.MAY_HAVE_RUN) {
             isDiscarded = true
             isReportedNotExecuted = true
@@ -183,6 +196,23 @@
         exchange.forwardHead(response)
     }
 
+    private fun recordAcceptance(metadata: ResponseMetadata) {
+        val selector = exchange.node.selector
+        when (val pause = metadata.statedPause) {
+            is StatedPause.None -> Unit
+
+            is StatedPause.Lasting -> selector.recordPause(target.name, pause.duration)
+
+            is StatedPause.Unreadable -> exchange.node.log.unreadablePause(target.name.value)
+        }
+        if (!metadata.isLeaving) return
+        connection?.closeAfterResponse()
+        exchange.node.pool.closeIdle(target.name)
+        if (selector.recordLeaving(target.name)) {
+            exchange.node.log.statedLeaving(target.name.value)
+        }
+    }
+
     /** Only a valid answer withdraws a rate; failures may come without the target's headers. */
     private fun recordStatedRate(metadata: ResponseMetadata) {
         val rate = metadata.statedRate
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -99,6 +99,11 @@
         if (listener != null) channel.config().isAutoRead = isReading
     }
 
+    /** Closes the connection at the end of the current response instead of keeping it. */
+    fun closeAfterResponse() {
+        isKeepAlive = false
+    }
+
     /** Closes the connection, which cancels the request at the target. */
     fun cancel() {
         listener = null
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
@@ -72,6 +72,11 @@
         idle.values.removeAll { it.isEmpty() }
     }
 
+    /** Closes the idle connections to [target]. */
+    fun closeIdle(target: TargetName) {
+        idle.remove(target)?.forEach { it.cancel() }
+    }
+
     private fun idleOf(target: TargetName) = idle.getOrPut(target) { ArrayDeque() }
 
     private fun codec() = HttpClientCodec(
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
 import org.hibiscusproxy.forwarding.Prompt
+import org.hibiscusproxy.forwarding.StatedPause
 import org.hibiscusproxy.forwarding.StatedRate
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.TargetName
@@ -85,6 +86,8 @@
  * @property keepAliveTimeout how long the target keeps an idle connection open; null if not stated
  * @property coldDuration how long the target remains cold; null if not stated
  * @property statedRate rate of requests that the target takes from all forwarders together
+ * @property isLeaving whether the target states that it takes no new requests
+ * @property statedPause time for which the target wants no request from this forwarder
  */
 data class ResponseMetadata(
     val requestIdentifier: String?,
@@ -94,4 +97,6 @@
     val keepAliveTimeout: Duration?,
     val coldDuration: Duration?,
     val statedRate: StatedRate,
+    val isLeaving: Boolean,
+    val statedPause: StatedPause,
 )
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/DiscoveredTarget.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/DiscoveredTarget.kt
@@ -29,4 +29,10 @@
     @SerialName("c") val coldMilliseconds: Long = 0,
     @SerialName("b") val startedAt: Long? = null,
     @SerialName("v") val version: SoftwareVersion? = null,
-)
+) {
+    /** Whether [next] is the same incarnation of the target. */
+    fun isSameIncarnation(next: DiscoveredTarget): Boolean = next.service == service &&
+        next.address == address &&
+        next.version == version &&
+        (next.startedAt == null || startedAt == null || next.startedAt == startedAt)
+}
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/EngineSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/EngineSelector.kt
@@ -27,7 +27,7 @@
         latency: ServiceLatency,
         now: ComparableTimeMark,
     ): PlacementChoice {
-        val bound = loadBound(pool)
+        val bound = loadBound(pool, now)
         val preferred = byPreference(prompt, targets.filter { !it.health.isSuspended(now) })
         val affine = preferred.firstOrNull { state ->
             state.running + 1 <= bound &&
@@ -39,7 +39,9 @@
         val uncached = best.prefixCache.uncachedTokens(prompt)
         val wait = latency.prefillTime(best.pendingTokens + uncached)
         if (wait > request.remaining) return refusals.overloaded(wait)
-        val others = pool.filter { it !== best && !it.health.isSuspended(now) }
+        val others = pool.filter {
+            it !== best && !it.health.isSuspended(now) && it.acceptance(now) !is Acceptance.Paused
+        }
         val source = copySource(best, prompt, others, preferred, now)
         return PlacementChoice.Chosen(best.listed, source?.listed)
     }
@@ -77,8 +79,8 @@
     }
 
     /** Maximum requests of one engine of [pool], with a margin below the configured bound. */
-    private fun loadBound(pool: List<TargetState>): Double {
-        val staying = pool.filter { !it.listed.isLeaving }
+    private fun loadBound(pool: List<TargetState>, now: ComparableTimeMark): Double {
+        val staying = pool.filter { it.acceptance(now) !is Acceptance.Leaving }
         val mean = staying.sumOf { it.running }.toDouble() / staying.size.coerceAtLeast(1)
         return mean * (1 + (loadMultiple - 1) * BOUND_SHARE) + BOUND_OFFSET_REQUESTS
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRefusals.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRefusals.kt
@@ -17,6 +17,9 @@
     fun overloaded(wait: Duration): PlacementChoice =
         unavailable(RefusalReason.OVERLOADED, wait / 2)
 
+    /** Refuses a request because every target stated that it wants none before [wait]. */
+    fun paused(wait: Duration): PlacementChoice = refuse(RefusalReason.PAUSED, wait)
+
     /** Refuses a request because no target is available before [wait]. */
     fun unavailable(reason: RefusalReason, wait: Duration): PlacementChoice =
         refuse(reason, wait.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER))
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
@@ -72,6 +72,9 @@
     /** Every usable target gets as many requests as it states to take. */
     RATE_LIMITED,
 
+    /** Every usable target stated that it wants no request for some time. */
+    PAUSED,
+
     /** No target of the version that began the stream takes requests. */
     VERSION_GONE,
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -33,6 +33,7 @@
     private val sentPrompts = SentPromptQueue()
     private val changedRates = StatedRateQueue(time)
     private val demand = DemandShares(time)
+    private val notices = TargetNotices()
     private val refusals = PlacementRefusals(random)
     private val engines = EngineSelector(loadMultiple, refusals)
     private val leastLoaded = LeastLoadedSelector(random, refusals)
@@ -48,14 +49,16 @@
         states.keys.retainAll(names)
         for (target in targets) {
             val state = states[target.name]
-            if (state != null && state.isSameIncarnation(target)) {
+            val notice = notices.of(target, now)
+            if (state != null && state.listed.isSameIncarnation(target)) {
                 state.listed = target
                 state.markCold(target.coldMilliseconds.milliseconds, now)
             } else {
                 val memoryTokens = services[target.service]?.engine?.memoryTokens ?: 0
-                states[target.name] = TargetState(target, now, memoryTokens, random)
+                states[target.name] = TargetState(target, now, memoryTokens, notice, random)
             }
         }
+        notices.forgetUnlisted(now)
     }
 
     /** Replaces the published services and the data centres that receive no new requests. */
@@ -99,8 +102,8 @@
     fun choose(request: PlacementRequest): PlacementChoice {
         val now = time.markNow()
         demand.record(request.service)
-        val usable = request.versions.select(states.values.filter { it.isUsable(request) })
-        if (usable.isEmpty()) return refuseWithoutTarget(request)
+        val usable = request.versions.select(states.values.filter { it.isUsable(request, now) })
+        if (usable.isEmpty()) return refuseWithoutTarget(request, now)
         val healthy = usable.filter { !it.health.isSuspended(now) }
             .ifEmpty { listOf(earliestAvailable(usable)) }
         val share = demand.share(request.service, forwarders)
@@ -117,12 +120,20 @@
         }
     }
 
-    private fun refuseWithoutTarget(request: PlacementRequest): PlacementChoice {
-        val staying = states.values.map { it.listed }
-            .filter { it.service == request.service && !it.isLeaving }
+    private fun refuseWithoutTarget(
+        request: PlacementRequest,
+        now: ComparableTimeMark,
+    ): PlacementChoice {
+        val staying = states.values.filter {
+            it.listed.service == request.service && it.acceptance(now) !is Acceptance.Leaving
+        }
         val isGone = request.versions is VersionChoice.Only &&
-            staying.none(request.versions::matches)
-        return if (isGone) refusals.versionGone() else refusals.noTarget()
+            staying.map { it.listed }.none(request.versions::matches)
+        if (isGone) return refusals.versionGone()
+        val used = request.versions.select(staying.filter { it.listed.dataCenter !in drained })
+        val pauses = used.map { (it.acceptance(now) as? Acceptance.Paused)?.remaining }
+        val shortest = pauses.minOfOrNull { it ?: Duration.ZERO } ?: Duration.ZERO
+        return if (shortest.isPositive()) refusals.paused(shortest) else refusals.noTarget()
     }
 
     /** Refuses a request, because [targets] are cold or have no permit left. */
@@ -216,12 +227,25 @@
         .mapTo(LinkedHashSet()) { it.listed.service }
         .map(demand::own)
 
-    /** Whether the platform lists [target] as one that accepts no new requests. */
-    fun isLeaving(target: TargetName): Boolean = states[target]?.listed?.isLeaving == true
+    /** Records that [target] stated that it leaves. Returns whether that is news. */
+    fun recordLeaving(target: TargetName): Boolean = states[target]?.notice?.recordLeaving() == true
+
+    /** Records that [target] stated that it wants no request for [duration]. */
+    fun recordPause(target: TargetName, duration: Duration) {
+        states[target]?.notice?.recordPause(duration, time.markNow())
+    }
+
+    /** Whether [target] is listed or stated itself as one that accepts no new requests. */
+    fun isLeaving(target: TargetName): Boolean =
+        states[target]?.acceptance(time.markNow()) is Acceptance.Leaving
+
+    /** Whether [target] is listed and takes new requests from this forwarder. */
+    fun takesRequests(target: TargetName): Boolean =
+        states[target]?.acceptance(time.markNow()) is Acceptance.Open
 
-    private fun TargetState.isUsable(request: PlacementRequest): Boolean =
+    private fun TargetState.isUsable(request: PlacementRequest, now: ComparableTimeMark): Boolean =
         listed.service == request.service &&
-            !listed.isLeaving &&
+            acceptance(now) is Acceptance.Open &&
             listed.dataCenter !in drained &&
             listed.name !in request.excluded
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
@@ -11,6 +11,7 @@
     var listed: DiscoveredTarget,
     now: ComparableTimeMark,
     memoryTokens: Long,
+    val notice: TargetNotice,
     random: Random,
 ) {
     val health = TargetHealth()
@@ -46,6 +47,10 @@
         markCold(listed.coldMilliseconds.milliseconds, now)
     }
 
+    /** Whether the target takes new requests from this forwarder. */
+    fun acceptance(now: ComparableTimeMark): Acceptance =
+        if (listed.isLeaving) Acceptance.Leaving else notice.acceptance(now)
+
     fun markCold(remaining: Duration, now: ComparableTimeMark) {
         if (remaining.isPositive()) coldUntil = maxOf(coldUntil, now + remaining)
     }
@@ -79,15 +84,6 @@
     private fun permitRate(share: Double): Double? =
         statedRate?.let { maxOf(it, MINIMUM_RATE_PER_SECOND) * share }
 
-    /** Whether [next] is the same incarnation of the target. */
-    fun isSameIncarnation(next: DiscoveredTarget): Boolean = next.service == listed.service &&
-        next.address == listed.address &&
-        next.version == listed.version &&
-        (
-            next.startedAt == null || listed.startedAt == null ||
-                next.startedAt == listed.startedAt
-            )
-
     private companion object {
         /** A target that gets no request at all could never withdraw its rate. */
         const val MINIMUM_RATE_PER_SECOND = 0.2
