End the refusals of crashing requests at different times at each entry

Besides, the time of these refusals doubled without a bound, so that a sound request that stays a suspect was refused for longer and longer.

The simulation uses the entries' own RefusedRequests instead of a copy of the announced list. Provisional refusals last one minute at most.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -41,7 +41,7 @@
     val selector = TargetSelector(settings.loadMultiple, time, random)
     val pool = TargetPool(loop, wire)
     val crashes = CrashObserver(time)
-    val refusals = RefusedRequests(time)
+    val refusals = RefusedRequests(time, random)
     val crashDetector = CrashDetector(loop, pool, selector, crashes) { onCrash() }
     val log = RequestLog(registry, time)
     val origins = StreamOrigins(time)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ProvisionalRefusals.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ProvisionalRefusals.kt
@@ -3,6 +3,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.hibiscusproxy.protocol.Fingerprint
@@ -11,7 +12,7 @@
  * Refuses for a short time what may be the cause of crashes but cannot be told from bystanders. With
  * all of them refused, targets come back; afterwards bystanders are answered, which clears them, and
  * the cause crashes one more target, which sets it apart. Each further refusal of the same takes
- * twice as long. Not thread-safe.
+ * twice as long, up to [LONGEST_DURATION]. Not thread-safe.
  */
 class ProvisionalRefusals(private val time: TimeSource.WithComparableMarks) {
     private val refusals = LinkedHashMap<Set<Fingerprint>, Refusal>()
@@ -34,9 +35,10 @@
                 refusals[cause] = known
                 continue
             }
-            val duration = (known?.let { it.duration * 2 } ?: FIRST_DURATION) + STAGGER * added
+            val next = known?.let { minOf(it.duration * 2, LONGEST_DURATION) } ?: FIRST_DURATION
+            val duration = next + STAGGER * added
             added += 1
-            refusals[cause] = Refusal(crashes, duration, time.markNow() + duration)
+            refusals[cause] = Refusal(crashes, next, time.markNow() + duration)
             if (refusals.size > MAXIMUM_REFUSALS) refusals.remove(refusals.keys.first())
         }
         return added > 0
@@ -44,12 +46,15 @@
 
     private class Refusal(val crashes: Int, val duration: Duration, val end: ComparableTimeMark)
 
-    private companion object {
+    companion object {
+        /** Bounds how long a sound request is refused because of one that crashes targets. */
+        val LONGEST_DURATION = 1.minutes
+
         /** Targets that crashed are back after some seconds. */
-        val FIRST_DURATION = 5.seconds
+        private val FIRST_DURATION = 5.seconds
 
         /** Lets refusals end one by one, so that what crashes a target then is alone. */
-        val STAGGER = 700.milliseconds
-        const val MAXIMUM_REFUSALS = 64
+        private val STAGGER = 700.milliseconds
+        private const val MAXIMUM_REFUSALS = 64
     }
 }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
@@ -4,10 +4,13 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.TestTimeSource
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.CrashSuspects
 import org.hibiscusproxy.protocol.Fingerprint
+import org.hibiscusproxy.protocol.Refusal
+import org.hibiscusproxy.protocol.RefusalList
 import org.hibiscusproxy.protocol.Suspect
 
 /**
@@ -96,7 +99,7 @@
         send(entries.random(random), parts, repeats, isSecondTry = false)
 
     private fun send(entry: Entry, parts: List<Fingerprint>, repeats: Int, isSecondTry: Boolean) {
-        val isRefused = entry.refused.any { parts.containsAll(it) }
+        val isRefused = entry.refused.remaining(parts) != null
         record.arrived(parts, isRefused)
         if (isRefused) return
         if (isSecondTry && !entry.observer.maySendAgain(parts.last())) return repeat(parts, repeats)
@@ -156,11 +159,13 @@
             (ambiguous.toMap() + analysis.suspects())
                 .map { Suspect(it.key, it.value.inWholeMilliseconds) },
         )
-        val causes = refused.keys + provisional.active.keys
+        val remaining = provisional.active + refused.mapValues { REFUSAL_TIME }
         entries.forEach { entry ->
             after(milliseconds(2..60)) {
                 if (entry.isCutOff) return@after
-                entry.refused = causes
+                entry.refused.add(
+                    RefusalList(remaining.map { Refusal(it.key, it.value.inWholeMilliseconds) }),
+                )
                 entry.observer.updateSuspects(suspects)
             }
         }
@@ -186,7 +191,7 @@
 
     private inner class Entry {
         var observer = CrashObserver(time)
-        var refused: Set<Set<Fingerprint>> = emptySet()
+        var refused = RefusedRequests(time, random)
         val sent = LongArray(CONTROLLERS)
         var inTouchFrom = Duration.ZERO
         private var cutOffUntil = Duration.ZERO
@@ -194,6 +199,7 @@
 
         fun restart() {
             observer = CrashObserver(time)
+            refused = RefusedRequests(time, random)
             sent.fill(0)
             inTouchFrom = elapsed() + CrashRecorder.CONTACT_TIME
         }
@@ -289,6 +295,9 @@
         private const val CONTROLLERS = 3
         private const val DATA_CENTERS = 3
 
+        /** The simulated time is shorter than a refusal of a found cause. */
+        private val REFUSAL_TIME = 10.minutes
+
         /** Times that a caller comes again with a request that failed. */
         private const val REPEATS = 3
         private const val LENGTH_MILLISECONDS = 40_000
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/ProvisionalRefusalsTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/ProvisionalRefusalsTest.kt
@@ -36,6 +36,16 @@
             assertTrue(refusals.update(mapOf(first to 4)))
             assertEquals(mapOf(first to 10.seconds), refusals.active)
         }
+
+        @Test
+        fun `of a sound request that stays a suspect do not grow without bound`() {
+            repeat(20) { crashes ->
+                refusals.update(mapOf(first to 3 + crashes))
+                val remaining = refusals.active.getValue(first)
+                assertTrue(remaining <= ProvisionalRefusals.LONGEST_DURATION, "$remaining")
+                time += remaining
+            }
+        }
     }
 
     @Nested
