--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
@@ -12,10 +12,12 @@
 import org.hibiscusproxy.daemon.command.SettingsPageCommand
 import org.hibiscusproxy.daemon.command.StatusCommand
 import org.hibiscusproxy.daemon.command.TimelineCommand
+import org.hibiscusproxy.daemon.logging.LogSetup
 
 /** Entry point of the `hibiscusproxy` command line. */
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
+    LogSetup.useDirectProvider()
     val parser = ArgParser("hibiscusproxy", strictSubcommandOptionsOrder = true)
     parser.subcommands(
         RunCommand(),
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ErrorResponses.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ErrorResponses.kt
@@ -6,7 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import java.nio.charset.StandardCharsets.UTF_8
-import java.util.Locale
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -23,15 +23,25 @@
     private const val OUTCOME_HEADER = "X-Hibiscus-Outcome"
     private const val STREAM_HEADER = "X-Hibiscus-Stream"
     private const val RESTART = "restart"
+    private const val MILLISECONDS_PER_SECOND = 1_000
 
     /** Refuses a request that was not executed; the caller may retry after [retryAfter]. */
     fun refusal(reason: FinalReason, retryAfter: Duration): DefaultFullHttpResponse {
         val response = failure(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, NOT_RUN)
-        val seconds = "%.3f".format(Locale.ROOT, retryAfter.toDouble(DurationUnit.SECONDS))
-        response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds)
+        response.headers().set(HttpHeaderNames.RETRY_AFTER, secondsText(retryAfter))
         return response
     }
 
+    /**
+     * [duration] in seconds, rounded up to milliseconds. Not formatted by the library, which loads
+     * locale data when the first callers are refused.
+     */
+    private fun secondsText(duration: Duration): String {
+        val milliseconds = ceil(duration.toDouble(DurationUnit.MILLISECONDS)).toLong()
+        val fraction = (milliseconds % MILLISECONDS_PER_SECOND).toString().padStart(3, '0')
+        return "${milliseconds / MILLISECONDS_PER_SECOND}.$fraction"
+    }
+
     /**
      * Refuses to continue a stream. The caller may begin a new one at once; there is no time after
      * which taking up this one would succeed, so none is stated.
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/logging/LogSetup.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/logging/LogSetup.kt
@@ -14,6 +14,16 @@
 /** Configures logging to standard output in the format given by the settings. */
 object LogSetup {
     private const val STANDARD_ERROR = "System.err"
+    private const val CONFIGURATION_FILE = "logback.configurationFile"
+
+    /**
+     * Has SLF4J use [DirectLogProvider], unless a configuration file is named. Called before the
+     * first logger is created.
+     */
+    fun useDirectProvider() {
+        if (System.getProperty(CONFIGURATION_FILE) != null) return
+        System.setProperty(LoggerFactory.PROVIDER_PROPERTY_KEY, DirectLogProvider::class.java.name)
+    }
 
     /** Applies [format] to all loggers of the process. */
     fun apply(format: LogFormat) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/FleetKey.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/FleetKey.kt
@@ -8,14 +8,12 @@
 import java.nio.file.Path
 import java.security.MessageDigest
 import java.util.HexFormat
-import javax.crypto.Mac
-import javax.crypto.spec.SecretKeySpec
 
 /**
  * Secret shared by all processes and operators of a fleet. The key itself is never logged or sent:
  * peers prove that they hold it in the handshake, and operators sign their calls with it.
  */
-class FleetKey private constructor(private val secret: SecretKeySpec) {
+class FleetKey private constructor(private val secret: ByteArray) {
     /** Token derived from the key. Operators' calls are signed instead and do not carry it. */
     val operatorToken: String
         get() = HexFormat.of().formatHex(derive("operator"))
@@ -29,24 +27,22 @@
      * label, since the input contains no delimiters between them.
      */
     internal fun derive(label: String, vararg parts: ByteArray): ByteArray {
-        val mac = Mac.getInstance(ALGORITHM)
-        mac.init(secret)
-        mac.update(label.encodeToByteArray())
-        mac.update(0)
-        parts.forEach(mac::update)
-        return mac.doFinal()
+        val code = HmacSha256(secret)
+        code.update(label.encodeToByteArray())
+        code.update(0)
+        parts.forEach(code::update)
+        return code.finish()
     }
 
     override fun toString(): String = "FleetKey(hidden)"
 
     companion object {
-        internal const val ALGORITHM = "HmacSHA256"
         private const val MINIMUM_BYTES = 16
 
         /** Creates a key from [bytes], which must be at least 16. */
         fun of(bytes: ByteArray): Result<FleetKey, FleetKeyFailure> = when {
             bytes.size < MINIMUM_BYTES -> Err(FleetKeyFailure.TooShort(bytes.size, MINIMUM_BYTES))
-            else -> Ok(FleetKey(SecretKeySpec(bytes, ALGORITHM)))
+            else -> Ok(FleetKey(bytes.copyOf()))
         }
 
         /** Reads the key from [file]; leading and trailing white space is ignored. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/Frames.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/Frames.kt
@@ -8,8 +8,6 @@
 import io.ktor.utils.io.writeInt
 import java.nio.ByteBuffer
 import java.security.MessageDigest
-import javax.crypto.Mac
-import javax.crypto.spec.SecretKeySpec
 import kotlinx.serialization.cbor.Cbor
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.PeerMessage
@@ -41,16 +39,14 @@
  * reordered frame does not match. Not safe for concurrent use.
  */
 internal class FrameAuthenticator(key: ByteArray) {
-    private val mac = Mac.getInstance(FleetKey.ALGORITHM).apply {
-        init(SecretKeySpec(key, FleetKey.ALGORITHM))
-    }
+    private val code = HmacSha256(key)
     private val sequence = ByteBuffer.allocate(Long.SIZE_BYTES)
     private var nextSequenceNumber = 0L
 
     fun tag(payload: ByteArray): ByteArray {
-        mac.update(sequence.putLong(0, nextSequenceNumber++).array())
-        mac.update(payload)
-        return mac.doFinal().copyOf(TAG_BYTES)
+        code.update(sequence.putLong(0, nextSequenceNumber++).array())
+        code.update(payload)
+        return code.finish().copyOf(TAG_BYTES)
     }
 }
 
