Take the size of an engine's prefix cache from the routing, whenever that arrives

Cause: an entry took the size when it first saw a target.

Change: routing sets the size of all targets.

TargetSelectorTest "an engine that is listed before the routing is known keeps its prompts" failed before and passes.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PrefixCacheEstimate.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PrefixCacheEstimate.kt
@@ -2,12 +2,19 @@
 
 /**
  * Estimate of the prompt parts in one engine's prefix cache, based on the prompts that forwarders
- * sent to it. Evicts the least recently used parts when they exceed [capacityTokens].
+ * sent to it. Evicts the least recently used parts when they exceed the capacity of the cache.
  */
-internal class PrefixCacheEstimate(private val capacityTokens: Long) {
+internal class PrefixCacheEstimate(capacityTokens: Long) {
     private val parts = LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true)
     private var tokens = 0L
 
+    /** Tokens that the cache holds; not known before the routing is. */
+    var capacityTokens = capacityTokens
+        set(value) {
+            field = value
+            evict()
+        }
+
     /** Prompt tokens that follow the longest cached prefix of [prompt]. */
     fun uncachedTokens(prompt: Prompt): Long {
         var cached = 0L
@@ -27,6 +34,10 @@
             val before = parts.put(part.identifier, part.tokens) ?: 0
             tokens += part.tokens - before
         }
+        evict()
+    }
+
+    private fun evict() {
         val oldest = parts.entries.iterator()
         while (tokens > capacityTokens && oldest.hasNext()) {
             tokens -= oldest.next().value
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -54,8 +54,8 @@
                 state.listed = target
                 state.markCold(target.coldMilliseconds.milliseconds, now)
             } else {
-                val memoryTokens = services[target.service]?.engine?.memoryTokens ?: 0
-                states[target.name] = TargetState(target, now, memoryTokens, notice, random)
+                states[target.name] =
+                    TargetState(target, now, memoryTokens(target), notice, random)
             }
         }
         notices.forgetUnlisted(now)
@@ -65,8 +65,12 @@
     fun updateRouting(published: List<ForwardingService>, drainedDataCenters: Set<DataCenterName>) {
         services = published.associateBy { it.name }
         drained = drainedDataCenters
+        states.values.forEach { it.prefixCache.capacityTokens = memoryTokens(it.listed) }
     }
 
+    private fun memoryTokens(target: DiscoveredTarget): Long =
+        services[target.service]?.engine?.memoryTokens ?: 0
+
     /** Replaces the load of all other forwarders and records what they sent and learned. */
     fun updateFleetLoad(load: FleetLoad) {
         forwarders = load.entries.coerceAtLeast(1)
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
@@ -69,6 +69,20 @@
             assertTrue(failed in both, "$both")
         }
 
+        @Test
+        fun `an engine that is listed before the routing is known keeps its prompts`() {
+            val selector = TargetSelector(2.0, time, Random(1)).apply {
+                updateTargets(listOf(target(1), target(2)))
+                updateRouting(RoutingFixture.services, emptySet())
+            }
+            val prompt = prompt("manual")
+            selector.begin(TargetName("engines-1"), prompt)
+            val others = request(prompt = prompt, excluded = setOf(TargetName("engines-1")))
+            val chosen = assertIs<PlacementChoice.Chosen>(selector.choose(others))
+            assertEquals("engines-1", chosen.cachedAt?.name?.value)
+            assertEquals(0, selector.begin(TargetName("engines-1"), prompt).uncachedTokens)
+        }
+
         @Test
         fun `a target that restarts under the same name is a new target`() {
             val selector = selector(target(1, startedAt = 1))
