Start requests that waited for routing a few at a time, and end them at their deadline

Cause: all waiting requests were started in the turn of the loop that brought the routing, before it read which callers had closed their connections. Their timeout was counted from that moment instead of their arrival.

Change: eight are started at a time, with a turn of the loop in between; the timeout is what remains of it.

RoutingWaitTest failed before, with 30 of 30 requests of callers that had left and an answer after 2.8 s where 2 s are the deadline, and passes.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -115,7 +115,7 @@
         }
         timeoutTask = node.loop.schedule(
             ::onTimeout,
-            (timeout + TIMEOUT_GRACE).inWholeMilliseconds,
+            (remaining + TIMEOUT_GRACE).inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
         stream?.takeIf { it.isTakeUp }?.let { return continueStream(it) }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -72,6 +72,7 @@
 
     private val startedAt = time.markNow()
     private var isStreamReportScheduled = false
+    private var isStartScheduled = false
     private val waitingExchanges = LinkedHashSet<Exchange>()
 
     /** Starts [exchange] once routing and targets are known, unless it is removed before. */
@@ -84,11 +85,22 @@
         waitingExchanges -= exchange
     }
 
+    /**
+     * Starts the waiting requests in the order of their arrival, a few at a time. In between, the
+     * loop reads which callers have closed their connections meanwhile.
+     */
     private fun startWaiting() {
-        if (!isServing) return
-        val waiting = waitingExchanges.toList()
-        waitingExchanges.clear()
-        waiting.forEach { it.start() }
+        if (!isServing || waitingExchanges.isEmpty() || isStartScheduled) return
+        isStartScheduled = true
+        loop.schedule(::startNext, START_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun startNext() {
+        isStartScheduled = false
+        val next = waitingExchanges.take(STARTS_AT_ONCE)
+        waitingExchanges -= next.toSet()
+        next.forEach { it.start() }
+        startWaiting()
     }
 
     /** Whether routes and targets are known, so that requests can be forwarded. */
@@ -171,6 +183,9 @@
         /** Collects the streams of a burst; those of the last instant are lost with the process. */
         const val STREAM_REPORT_DELAY_MILLISECONDS = 10L
 
+        const val STARTS_AT_ONCE = 8
+        const val START_INTERVAL_MILLISECONDS = 1L
+
         /** Controllers that start with the forwarder have elected a leader well before. */
         val ROUTING_LIMIT = 5.seconds
         val LOG = LoggerFactory.getLogger(ForwardingNode::class.java)
