Answer requests of connections that were accepted just before a stop

Callers: connections that had been accepted shortly before an entry stopped were closed before their first request was read. Cause: after the listener was closed, every connection without a request in progress was closed at once, also one that had just been accepted.

Change: only connections that have been idle for half a second are closed; the process ends when none is left, or at its timeout.

DrainTest "that were accepted just before the stop have their request answered" failed before, two of the connections were cut, and passes.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -25,6 +25,7 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import org.hibiscusproxy.forwarding.CallerLimits
 
@@ -182,9 +183,9 @@
         channel.close()
     }
 
-    /** Closes the connection if no request is in progress or being received. */
-    fun closeIfIdle() {
-        if (isIdle) channel.close()
+    /** Closes the connection if it has been without a request for [minimum]. */
+    fun closeIfIdle(minimum: Duration) {
+        if (isIdle && lastProgress.elapsedNow() >= minimum) channel.close()
     }
 
     private fun setConnectionHeader(response: HttpResponse) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -130,8 +130,9 @@
 
     /**
      * Reports itself as not ready, continues to serve until the platform sends no new connections,
-     * then closes idle connections and waits for the requests in progress. Returns the number of
-     * requests that are still in progress after [timeout].
+     * then waits for the requests in progress and closes connections that have been idle for a
+     * moment: the request of a new one may be on its way. Returns the number of requests that are
+     * still in progress after [timeout].
      */
     override suspend fun drain(timeout: Duration): Int {
         val startedAt = TimeSource.Monotonic.markNow()
@@ -140,16 +141,14 @@
         delay(minOf(NOT_READY_TIME, timeout / 2))
         withContext(loop.asCoroutineDispatcher()) {
             server.stopAccepting()
-            server.closeIdle()
         }
-        var remaining = node.activeExchanges
-        while (remaining > 0 && startedAt.elapsedNow() < timeout) {
-            delay(DRAIN_CHECK_INTERVAL)
-            remaining = withContext(loop.asCoroutineDispatcher()) { node.activeExchanges }
-        }
-        return remaining
+        while (closeIdle() > 0 && startedAt.elapsedNow() < timeout) delay(DRAIN_CHECK_INTERVAL)
+        return withContext(loop.asCoroutineDispatcher()) { node.activeExchanges }
     }
 
+    private suspend fun closeIdle(): Int =
+        withContext(loop.asCoroutineDispatcher()) { server.closeIdle(MINIMUM_IDLE_TIME) }
+
     override fun close() {
         scope.cancel()
         server.close()
@@ -163,6 +162,9 @@
 
         /** The platform checks readiness once a second and removes a process after two failures. */
         val NOT_READY_TIME = 3.seconds
+
+        /** Callers send the first request well within this time after they have connected. */
+        val MINIMUM_IDLE_TIME = 500.milliseconds
         val DRAIN_CHECK_INTERVAL = 20.milliseconds
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
+import kotlin.time.Duration
 import org.hibiscusproxy.forwarding.CallerLimits
 import org.hibiscusproxy.model.NetworkAddress
 
@@ -43,8 +44,14 @@
         callerListener?.close()
     }
 
-    /** Closes the connections without a request in progress. Called on the event loop. */
-    fun closeIdle() = callers.toList().forEach { it.closeIfIdle() }
+    /**
+     * Closes the connections that have been without a request for [minimum], and returns how many
+     * connections are left. Called on the event loop.
+     */
+    fun closeIdle(minimum: Duration): Int {
+        callers.toList().forEach { it.closeIfIdle(minimum) }
+        return callers.size
+    }
 
     fun close() = listeners.forEach { it.close() }
 
