--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/logging/DirectLogProvider.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/logging/DirectLogProvider.kt
@@ -11,8 +11,7 @@
 
 /**
  * Connects SLF4J to a logback context that [LogSetup] configures. Logback's own provider looks for
- * configurators and configuration files first, which takes a fifth of the start of a process on an
- * instance with a part of a core.
+ * configurators and configuration files first, for which callers wait at the start of a process.
  */
 class DirectLogProvider : SLF4JServiceProvider {
     private val context = LoggerContext()
