Send no request whose caller's close was read in the same turn of the loop

Cause: a loop that was busy for seconds finds the request and the close behind it at once. It read the request, sent it to a target on a kept connection, and read the close in its next turn. Ruled out as the only cause: requests that wait for routing.

Change: a request is started, and an established connection used, by a task that runs after the turn's reading; connections of callers are read until nothing is left, so that the close is seen in the same turn.

RoutingWaitTest "that are read after their callers left reach no target" failed before, with 30 of 30, and passes.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -113,7 +113,8 @@
         val next = Exchange(node, this, request, bytes)
         exchange = next
         node.activeExchanges += 1
-        next.start()
+        // By then the loop has also read whether the caller has left since it sent the request.
+        node.loop.execute { if (channel.isActive) next.start() }
     }
 
     private fun rejectMalformed(message: HttpObject) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.daemon.forwarding
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -62,6 +63,11 @@
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            // Reads on after a request, so that a close behind it is seen in the same turn.
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false),
+            )
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) = initialize(channel)
             })
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -60,7 +60,8 @@
         }
 
     fun onConnected(result: ConnectResult) = when (result) {
-        is ConnectResult.Connected -> onConnected(result.connection)
+        // A close of the caller that was read in the same turn of the loop cancels the attempt first.
+        is ConnectResult.Connected -> exchange.node.loop.execute { onConnected(result.connection) }
 
         is ConnectResult.Failed -> onConnectFailed(result.cause)
     }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWaitTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWaitTest.kt
@@ -167,6 +167,18 @@
             assertEquals(listOf("stays"), target.identifiers.toList())
         }
 
+        @Test
+        fun `that are read after their callers left reach no target`() {
+            loop.submit(::receiveRouting).get()
+            val blocked = loop.submit { Thread.sleep(500) }
+            repeat(LEAVING_CALLERS) { send("unread-$it").close() }
+            val staying = send("stays")
+            blocked.get()
+            Thread.sleep(1_000)
+            staying.close()
+            assertEquals(listOf("stays"), target.identifiers.toList())
+        }
+
         @Test
         fun `are answered at their deadline, counted from their arrival`() {
             val sentAt = TimeSource.Monotonic.markNow()
