--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -2,22 +2,16 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import kotlin.time.ComparableTimeMark
 import org.hibiscusproxy.daemon.EventBoundary
 import org.hibiscusproxy.forwarding.AttemptResult
-import org.hibiscusproxy.forwarding.CrashAnalysis
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PlacedAttempt
 import org.hibiscusproxy.forwarding.RequestKind
-import org.hibiscusproxy.forwarding.StatedPause
-import org.hibiscusproxy.forwarding.StatedRate
 
 /**
  * One attempt to have a target execute a request. It decides which parts of the target's response
@@ -37,14 +31,13 @@
     private var isReportedNotExecuted = false
     private val startedAt = exchange.node.time.markNow()
     private var sentAt: ComparableTimeMark? = null
-    private var answeredAt: ComparableTimeMark? = null
+    private val evidence = AttemptEvidence(exchange, target)
 
     /** What marks the end of the target's answer; null until its head has arrived. */
     var framing: AnswerFraming? = null
         private set
     private var isEventStream = false
     private val boundary = EventBoundary()
-    private var hasSurvived = false
     private var bufferedHead: HttpResponse? = null
     private var bufferedBody: ByteBuf? = null
 
@@ -54,7 +47,7 @@
     /** How far the attempt got. */
     val progress: AttemptProgress
         get() {
-            answeredAt?.let { return AttemptProgress.Answering(it.elapsedNow()) }
+            evidence.answeredAt?.let { return AttemptProgress.Answering(it.elapsedNow()) }
             sentAt?.let { return AttemptProgress.Waiting(it.elapsedNow()) }
             return AttemptProgress.Connecting(startedAt.elapsedNow())
         }
@@ -106,7 +99,8 @@
     fun send(newConnection: TargetConnection) {
         connection = newConnection
         sentAt = exchange.node.time.markNow()
-        newConnection.send(targetRequest(), exchange.metadata.requestIdentifier, this)
+        val request = TargetRequestFactory(exchange).create(target, cachedAt)
+        newConnection.send(request, exchange.metadata.requestIdentifier, this)
     }
 
     fun cancel(result: AttemptResult) {
@@ -125,47 +119,13 @@
         bufferedBody = null
     }
 
-    private fun targetRequest(): DefaultFullHttpRequest {
-        val headers = DefaultHttpHeaders()
-        headers.set(exchange.head.headers())
-        val isEngine = exchange.metadata.prompt != null
-        exchange.node.wire.writeTargetHeaders(
-            headers,
-            TargetRequestHeaders(
-                target.name,
-                exchange.team?.name,
-                exchange.remaining.inWholeMilliseconds.coerceAtLeast(1),
-                urgency().takeIf { isEngine },
-                exchange.events?.lastIdentifier ?: exchange.metadata.lastEventIdentifier,
-                cachedAt?.address,
-            ),
-        )
-        val hasBody = exchange.body.isReadable ||
-            exchange.head.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
-            exchange.head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-        if (hasBody) headers.set(HttpHeaderNames.CONTENT_LENGTH, exchange.body.readableBytes())
-        return DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            exchange.head.method(),
-            exchange.head.uri(),
-            exchange.body.retainedDuplicate(),
-            headers,
-            DefaultHttpHeaders(),
-        )
-    }
-
-    private fun urgency(): Int {
-        val priority = exchange.team?.priority ?: exchange.route?.priority ?: 0
-        return (HIGHEST_PRIORITY_URGENCY + priority).coerceIn(0, LOWEST_URGENCY)
-    }
-
     override fun onHead(response: HttpResponse, metadata: ResponseMetadata) {
         responseStatus = response.status().code()
-        metadata.coldDuration?.let { exchange.node.selector.markCold(target.name, it) }
-        if (metadata.execution != ExecutionStatus.OTHER_TARGET) {
-            recordStatedRate(metadata)
-            recordAcceptance(metadata)
-        }
+        val isLeaving = TargetStatements(
+            exchange.node,
+            target.name,
+        ).record(metadata, responseStatus)
+        if (isLeaving) connection?.closeAfterResponse()
         if (metadata.execution != ExecutionStatus.MAY_HAVE_RUN) {
             isDiscarded = true
             isReportedNotExecuted = true
@@ -177,7 +137,7 @@
         ) {
             return rejectInvalid("response is not signed or is compressed")
         }
-        answeredAt = exchange.node.time.markNow()
+        evidence.recordAnswer()
         framing = AnswerFraming.of(response)
         isEventStream = isEventStream(response)
         exchange.node.selector.recordFirstPart(placed)
@@ -197,33 +157,6 @@
         exchange.forwardHead(response)
     }
 
-    private fun recordAcceptance(metadata: ResponseMetadata) {
-        val selector = exchange.node.selector
-        when (val pause = metadata.statedPause) {
-            is StatedPause.None -> Unit
-
-            is StatedPause.Lasting -> selector.recordPause(target.name, pause.duration)
-
-            is StatedPause.Unreadable -> exchange.node.log.unreadablePause(target.name.value)
-        }
-        if (!metadata.isLeaving) return
-        connection?.closeAfterResponse()
-        exchange.node.pool.closeIdle(target.name)
-        if (selector.recordLeaving(target.name)) {
-            exchange.node.log.statedLeaving(target.name.value)
-        }
-    }
-
-    /** Only a valid answer withdraws a rate; failures may come without the target's headers. */
-    private fun recordStatedRate(metadata: ResponseMetadata) {
-        val rate = metadata.statedRate
-        val isValid = metadata.isSigned && responseStatus in SUCCESS_STATUSES
-        if (rate is StatedRate.Unlimited && !isValid) return
-        if (exchange.node.selector.recordStatedRate(target.name, rate)) {
-            exchange.node.log.statedRateChanged(target.name.value, rate)
-        }
-    }
-
     /** Short responses are buffered until complete, so that a truncated one can be retried. */
     private fun isBufferable(response: HttpResponse): Boolean =
         exchange.route?.kind == RequestKind.SAFE &&
@@ -236,7 +169,7 @@
 
     override fun onContent(content: HttpContent) {
         if (isDiscarded || isFinished) return
-        if (!isStartOfAnswer) recordSurvival()
+        if (!evidence.isStartOfAnswer) recordSurvival()
         if (isEventStream) followEvents(content.content())
         bufferedBody?.let {
             it.writeBytes(content.content())
@@ -266,10 +199,8 @@
             )
         }
         if (isStreamInterrupted()) return onFailure("stream ended within an event")
-        if (framing == AnswerFraming.CONNECTION &&
-            isStartOfAnswer
-        ) {
-            checkForCrash()
+        if (framing == AnswerFraming.CONNECTION && evidence.isStartOfAnswer) {
+            evidence.checkForCrash()
         } else {
             recordSurvival()
         }
@@ -305,7 +236,7 @@
 
     override fun onFailure(cause: String) {
         if (isFinished) return
-        checkForCrash()
+        evidence.checkForCrash()
         fail(cause)
     }
 
@@ -315,28 +246,8 @@
         exchange.onAttemptFailed(this, FinalReason.TARGET_LOST, cause, isReportedNotExecuted)
     }
 
-    /** Whether the answer began so recently that a crash of the target may be due to it. */
-    private val isStartOfAnswer: Boolean
-        get() = answeredAt.let { it == null || it.elapsedNow() < CrashAnalysis.ANSWER_START }
-
-    private fun checkForCrash() {
-        if (!isStartOfAnswer) return
-        val suspects = exchange.fingerprints
-        // Parts of prompts crash a target when it begins to answer, not while a request waits.
-        val isAnswered = answeredAt != null
-        val fingerprints = if (isAnswered) suspects.all else setOf(suspects.request)
-        exchange.node.crashDetector.onConnectionLost(target, fingerprints)
-    }
-
     private fun recordSurvival() {
-        val begunAt = answeredAt ?: return
-        if (hasSurvived || responseStatus !in SUCCESS_STATUSES) return
-        hasSurvived = true
-        val observer = exchange.node.crashes
-        observer.recordSurvivedAnswer(exchange.fingerprints.parts, begunAt)
-        if (observer.hasSuspects) {
-            observer.recordSurvivedAnswer(setOf(exchange.fingerprints.request), begunAt)
-        }
+        if (responseStatus in SUCCESS_STATUSES) evidence.recordSurvival()
     }
 
     private companion object {
@@ -346,9 +257,5 @@
 
         /** Responses of plain services are smaller; longer responses are streamed. */
         const val MAXIMUM_BUFFERED_BYTES = 65_536L
-
-        /** Reserves the ranks 0 and 1 for future use. */
-        const val HIGHEST_PRIORITY_URGENCY = 2
-        const val LOWEST_URGENCY = 9
     }
 }
