--- a/review/rig/src/Rig.java
+++ b/review/rig/src/Rig.java
@@ -59,6 +59,9 @@
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
+    /** Machines with a disk that may be lost at once, as the settings of controllers say. */
+    int toleratedLosses = 1;
+
     final List<String> controllers = new ArrayList<>();
     final List<String> forwarders = new ArrayList<>();
     final PlatformList list;
@@ -128,8 +131,16 @@
     }
 
     void startController(int index, boolean isFirstStart) throws IOException {
+        startController(index, isFirstStart, folder.resolve("data-" + index));
+    }
+
+    /** Starts a controller that has lost its disk: at its old address, with an empty folder. */
+    void startControllerWithEmptyDisk(int index) throws IOException {
+        startController(index, false, folder.resolve("new-data-" + index));
+    }
+
+    private void startController(int index, boolean isFirstStart, Path data) throws IOException {
         String host = controllers.get(index);
-        Path data = folder.resolve("data-" + index);
         Files.createDirectories(data);
         Map<String, String> values = values("controller-" + index, host);
         values.put("bootstrap", String.valueOf(isFirstStart));
@@ -167,7 +178,7 @@
         values.put("bounds.retry-slack", "62");
         values.put("bounds.retry-window-s", "10");
         values.put("bounds.cap-factor", "2");
-        values.put("fault-tolerance.machines", "1");
+        values.put("fault-tolerance.machines", String.valueOf(toleratedLosses));
         return values;
     }
 
