Keep what was acknowledged when as many disks are lost as stated

Cause: `toleratedLosses` only set how many voters the reconciler wishes for. With fewer voters than twice the losses plus one nothing enforced it: a change was committed by a majority that could be lost whole, and the voters left could neither elect nor remove the lost ones. Ruled out: the founding (returning controllers may not found), the reconciler (it never runs, no leader), the read path (503 is "no leader").

Change: Quorums. A commit needs the larger of a majority and losses + 1; identities that are known to be lost (their name reports it from another disk) no longer count; what remains may elect once it meets every commit. The same cause nearby: a stated number that nothing reported; too few voters are now logged, and the metric `hibiscus.controller.missing.voters` shows them.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -112,6 +112,9 @@
     /** Time for which this controller has known no leader. */
     val leaderlessTime: Duration get() = core.leaderlessTime
 
+    /** Voters that are missing to bear the tolerated losses, as this controller knows the cluster. */
+    val missingVoters: Int get() = core.missingVoters
+
     /** Adds [controllers] to the processes that this replica announces itself to. */
     fun addContacts(controllers: List<ProcessName>) {
         worker.trySubmit(ControllerInput.Contacts(controllers))
@@ -187,6 +190,8 @@
             heartbeatInterval = dependencies.settings.heartbeatMilliseconds.milliseconds,
             electionTimeout = dependencies.settings.electionMilliseconds.milliseconds,
             snapshotEntries = dependencies.settings.snapshotEntries,
+            toleratedLosses = dependencies.settings.toleratedLosses
+                .takeIf { dependencies.settings.automaticMembers } ?: 0,
         )
 
         private fun membership(dependencies: ControllerDependencies): ControllerMembership =
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -81,10 +81,14 @@
     private var isExpiryProposed = false
     private var prunedAt = time.markNow()
     private val leaderWatch = LeaderWatch(log, time)
+    private val toleranceWatch = ToleranceWatch(membership.toleratedLosses, time)
 
     /** Time for which no leader has been known. Readable from any thread. */
     val leaderlessTime: Duration get() = leaderWatch.leaderlessTime
 
+    /** Voters that are missing to bear the tolerated losses. Readable from any thread. */
+    val missingVoters: Int get() = toleranceWatch.missingVoters
+
     /** Whether this replica was the leader after the last [advance]. Readable from any thread. */
     @Volatile
     var isLeading = false
@@ -133,6 +137,7 @@
         entries.advance()
         orders.advance()
         isLeading = leadership.active() != null
+        toleranceWatch.advance(log.membership)
         val now = time.markNow()
         prune(now)
         closeSubscribersWithoutLeader(now)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerMembership.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerMembership.kt
@@ -9,6 +9,9 @@
     /** Determines membership changes on the leader; null if operators make them. */
     abstract val reconciler: MembershipReconciler?
 
+    /** Number of controllers that may fail or lose their disks at the same time. */
+    abstract val toleratedLosses: Int
+
     /** Whether consensus messages from [process] are accepted. */
     abstract fun mayJoin(process: ProcessName): Boolean
 
@@ -16,6 +19,8 @@
     class Listed(private val controllers: Set<ProcessName>) : ControllerMembership() {
         override val reconciler: MembershipReconciler? get() = null
 
+        override val toleratedLosses: Int get() = controllers.size / 2
+
         override fun mayJoin(process: ProcessName): Boolean = process in controllers
     }
 
@@ -23,9 +28,10 @@
      * Controllers are named by their peer addresses and join by announcing themselves. Any process
      * with the fleet key may join.
      *
-     * @param toleratedLosses number of controllers that may fail at the same time
+     * @param toleratedLosses number of controllers that may fail or lose their disks at the same
+     * time
      */
-    class Automatic(toleratedLosses: Int) : ControllerMembership() {
+    class Automatic(override val toleratedLosses: Int) : ControllerMembership() {
         override val reconciler = MembershipReconciler(2 * toleratedLosses + 1, SILENCE_LIMIT)
 
         override fun mayJoin(process: ProcessName): Boolean = true
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
@@ -54,6 +54,8 @@
         Gauge.builder("hibiscus.controller.leaderless.seconds") {
             started.leaderlessTime.toDouble(DurationUnit.SECONDS)
         }.register(context.registry)
+        Gauge.builder("hibiscus.controller.missing.voters") { started.missingVoters.toDouble() }
+            .register(context.registry)
         scope.launch { onFailure(started.failure.await()) }
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -230,7 +230,8 @@
     val mayFound: Boolean = true,
     @Setting(
         "Number of simultaneous controller failures to tolerate; with automatic members, twice " +
-            "as many plus one voters are kept.",
+            "as many plus one voters are kept, and with fewer voters a change waits until one " +
+            "more than this number have it.",
         minimum = 0.0,
         maximum = 10.0,
     )
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Campaign.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Campaign.kt
@@ -26,21 +26,34 @@
     }
 
     private fun run(isPreVote: Boolean, now: ComparableTimeMark): Boolean {
+        val term = state.term + termStep()
         if (!isPreVote) {
-            state.enterTerm(state.term + 1)
+            state.enterTerm(term)
             state.update(state.hardState.copy(vote = state.identity))
         }
-        val next = Election(state, if (isPreVote) state.term + 1 else state.term, isPreVote)
+        val next = Election(state, term, isPreVote)
         election = next
         timer.restart(now)
         next.start()
         return finishIfWon(next, now)
     }
 
+    /**
+     * Without the votes of lost identities, this replica cannot know the terms in which these have
+     * led last, and goes beyond all that they can have reached.
+     */
+    private fun termStep(): Long =
+        if (state.quorums().election < state.membership.majority) TERMS_OF_LOST_LEADERS else 1
+
     private fun finishIfWon(current: Election, now: ComparableTimeMark): Boolean {
         if (!current.isWon) return false
         if (current.isPreVote) return run(isPreVote = false, now)
         election = null
         return true
     }
+
+    private companion object {
+        /** Elections of several days. */
+        const val TERMS_OF_LOST_LEADERS = 1L shl 20
+    }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ClusterFormation.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ClusterFormation.kt
@@ -22,6 +22,9 @@
     private val announcedIdentities = sortedMapOf<ProcessName, Long>(compareBy { it.value })
     private val lastAnnouncements = mutableMapOf<ProcessName, ComparableTimeMark>()
     private val contacts = linkedSetOf<ProcessName>()
+
+    /** Identities that other replicas list under this replica's name, and which its disk replaced. */
+    private val earlierIdentities = linkedSetOf<Long>()
     private var announcedAt: ComparableTimeMark? = null
     private var lastTick: ComparableTimeMark? = null
 
@@ -52,7 +55,9 @@
         val interval = state.settings.heartbeatInterval * ANNOUNCEMENT_INTERVALS
         if (last != null && now - last < interval) return
         announcedAt = now
-        otherProcesses().forEach { state.send(it, Announcement(state.identity, state.cluster)) }
+        val announcement =
+            Announcement(state.identity, state.cluster, earlierIdentities.toList())
+        otherProcesses().forEach { state.send(it, announcement) }
     }
 
     fun addContacts(processes: List<ProcessName>) {
@@ -62,6 +67,7 @@
     fun receive(sender: ProcessName, message: Announcement) {
         announcedIdentities[sender] = message.identity
         lastTick?.let { lastAnnouncements[sender] = it }
+        state.recordLost(message.lost)
         val first = state.log.takeIf { it.baseIndex == 0L && it.lastIndex > 0 }?.get(1)?.content
         if (message.cluster == NO_IDENTITY &&
             first is EntryContent.MembershipEntry &&
@@ -69,8 +75,14 @@
         ) {
             state.send(sender, ClusterCreated(state.cluster, message.identity, first.membership))
         } else {
-            val members = state.membership.members.keys.toList()
-            val reply = AnnouncementReply(message.identity, state.identity, state.cluster, members)
+            val members = state.membership.members
+            val reply = AnnouncementReply(
+                message.identity,
+                state.identity,
+                state.cluster,
+                members.keys.toList(),
+                members[sender]?.identity ?: NO_IDENTITY,
+            )
             state.send(sender, reply)
         }
     }
@@ -78,6 +90,10 @@
     fun receive(sender: ProcessName, message: AnnouncementReply) {
         if (message.asker != state.identity) return
         contacts.addAll(message.members)
+        // A name is used by one process at a time, so the listed identity came before this one.
+        if (message.listed !in setOf(NO_IDENTITY, state.identity)) {
+            earlierIdentities.add(message.listed)
+        }
         if (message.cluster == NO_IDENTITY) {
             candidates[sender] = message.identity
         } else {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ConsensusMessage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ConsensusMessage.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.consensus
 
+import kotlinx.serialization.EncodeDefault
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -31,15 +32,24 @@
     }
 }
 
-/** Announces the identity of a replica without a cluster or leader, and asks for the receiver's. */
+/**
+ * Announces the identity of a replica without a cluster or leader, and asks for the receiver's.
+ *
+ * @property lost earlier identities of the sender's name
+ */
 @Serializable
 @SerialName("i")
 @CborArray
-internal data class Announcement(val identity: Long, val cluster: Long) : ConsensusMessage()
+internal data class Announcement(
+    val identity: Long,
+    val cluster: Long,
+    @EncodeDefault val lost: List<Long> = emptyList(),
+) : ConsensusMessage()
 
 /**
  * Reply to the announcement of [asker]; [cluster] is 0 if the sender belongs to none. [members] are
- * further processes that the asker may announce itself to.
+ * further processes that the asker may announce itself to, and [listed] is the identity that the
+ * sender's membership has for the asker's name, 0 if none.
  */
 @Serializable
 @SerialName("j")
@@ -48,7 +58,8 @@
     val asker: Long,
     val identity: Long,
     val cluster: Long,
-    val members: List<ProcessName> = emptyList(),
+    @EncodeDefault val members: List<ProcessName> = emptyList(),
+    @EncodeDefault val listed: Long = NO_IDENTITY,
 ) : ConsensusMessage()
 
 /** A new cluster was created with the receiver as a member. */
@@ -61,7 +72,10 @@
     val membership: Membership,
 ) : ConsensusMessage()
 
-/** Requests a vote, or with [isPreVote] asks whether one would be granted. */
+/**
+ * Requests a vote, or with [isPreVote] asks whether one would be granted. [lost] are the identities
+ * that the candidate knows to be lost.
+ */
 @Serializable
 @SerialName("v")
 @CborArray
@@ -73,6 +87,7 @@
     val lastIndex: Long,
     val lastTerm: Long,
     val isPreVote: Boolean,
+    @EncodeDefault val lost: List<Long> = emptyList(),
 ) : ConsensusMessage()
 
 /** Reply to a vote request; [term] is the requested term if granted, otherwise the voter's. */
@@ -110,7 +125,12 @@
 internal data class HeartbeatReply(val term: Long, val round: Long, val tag: Int) :
     ConsensusMessage()
 
-/** Entries that follow [previousIndex]. */
+/**
+ * Entries that follow [previousIndex].
+ *
+ * @property leader identity of the sender
+ * @property lost identities that the sender knows to be lost
+ */
 @Serializable
 @SerialName("a")
 @CborArray
@@ -123,6 +143,8 @@
     val previousTerm: Long,
     val commitIndex: Long,
     val entries: List<LogEntry>,
+    @EncodeDefault val leader: Long = NO_IDENTITY,
+    @EncodeDefault val lost: List<Long> = emptyList(),
 ) : ConsensusMessage()
 
 /** Reply to an append; [index] is the last matching index, or after a refusal where to retry. */
@@ -138,7 +160,10 @@
     val index: Long,
 ) : ConsensusMessage()
 
-/** Part of an encoded [Snapshot] of [totalBytes] bytes that covers the entries up to [index]. */
+/**
+ * Part of an encoded [Snapshot] of [totalBytes] bytes that covers the entries up to [index].
+ * [leader] and [lost] are as in [AppendRequest].
+ */
 @Serializable
 @SerialName("s")
 @CborArray
@@ -151,6 +176,8 @@
     val totalBytes: Int,
     val offset: Int,
     val content: Payload,
+    @EncodeDefault val leader: Long = NO_IDENTITY,
+    @EncodeDefault val lost: List<Long> = emptyList(),
 ) : ConsensusMessage()
 
 /** The sender has received the first [received] bytes of the snapshot at [index]. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Election.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Election.kt
@@ -14,9 +14,12 @@
 ) {
     private val grantingVoters = mutableSetOf<ProcessName>()
 
-    /** Whether a majority of the voters supports this replica. */
+    /** Whether enough voters that are not known to be lost support this replica. */
     val isWon: Boolean
-        get() = grantingVoters.count { it in state.membership.voters } >= state.membership.majority
+        get() {
+            val quorums = state.quorums()
+            return grantingVoters.count { it in quorums.present } >= quorums.election
+        }
 
     /** Votes for this replica and requests the votes of the other voters. */
     fun start() {
@@ -44,5 +47,6 @@
         lastIndex = state.log.lastIndex,
         lastTerm = state.log.lastTerm,
         isPreVote = isPreVote,
+        lost = state.hardState.lost,
     )
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/HardState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/HardState.kt
@@ -14,6 +14,7 @@
  * @property term highest term seen
  * @property vote identity voted for in [term], 0 if none
  * @property committed index up to which the log was known to be committed
+ * @property lost identities known to have lost their disks, the latest last
  */
 @Serializable
 data class HardState(
@@ -22,4 +23,5 @@
     @SerialName("t") val term: Long = 0,
     @SerialName("v") val vote: Long = NO_IDENTITY,
     @SerialName("k") val committed: Long = 0,
+    @SerialName("l") val lost: List<Long> = emptyList(),
 )
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/LeaderMemberView.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/LeaderMemberView.kt
@@ -33,6 +33,6 @@
     membership.refusalOf(change)?.let { return it }
     val isBehind = change is MembershipChange.Promote && !leadership.isCaughtUp(change.process, now)
     if (isBehind) return MembershipRefusal.NOT_CAUGHT_UP
-    val isMajorityReachable = leadership.reachesMajorityOf(membership.after(change), now)
-    return if (isMajorityReachable) null else MembershipRefusal.MAJORITY_SILENT
+    val canCommit = leadership.reachesCommitOf(membership.after(change), now)
+    return if (canCommit) null else MembershipRefusal.MAJORITY_SILENT
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Leadership.kt
@@ -21,6 +21,10 @@
     /** Time since the election, without the time in which this leader was itself delayed. */
     private var runningTime = Duration.ZERO
 
+    /** Lost identities that all entries from [lostKnownFrom] on were sent with. */
+    private var knownLost = state.lost
+    private var lostKnownFrom = state.log.lastIndex + 1
+
     /** End of the last delay of this leader that was longer than an election timeout. */
     private var resumedAt = electedAt
 
@@ -28,14 +32,17 @@
     val noOperationIndex: Long = state.log.lastIndex + 1
 
     /**
-     * Sending time of the latest round that a majority answered; this replica counts as of the
-     * last tick.
+     * Sending time of the latest round that a majority answered, or all voters that are not known to
+     * be lost; this replica counts as of the last tick.
      */
     val majorityContact: ComparableTimeMark?
-        get() = state.membership.voters
-            .map { if (it == state.name) lastTick else peers[it]?.lastContact }
-            .sortedWith(compareByDescending(nullsFirst()) { it })
-            .getOrNull(state.membership.majority - 1)
+        get() {
+            val quorums = state.quorums()
+            return quorums.present
+                .map { if (it == state.name) lastTick else peers[it]?.lastContact }
+                .sortedWith(compareByDescending(nullsFirst()) { it })
+                .getOrNull(quorums.contact - 1)
+        }
 
     init {
         append(EntryContent.NoOperation)
@@ -54,6 +61,7 @@
         runningTime += minOf(now - lastTick, state.settings.heartbeatInterval)
         if (now - lastTick > state.settings.electionTimeout) resumedAt = now
         lastTick = now
+        recordLost()
         if (now - rounds.last().sentAt < state.settings.heartbeatInterval) return
         startRound(now)
         peers.forEach { (process, peer) ->
@@ -86,13 +94,14 @@
         return isRecent && isClose && peer.matchIndex >= noOperationIndex
     }
 
-    /** Whether a majority of the voters of [next] is this replica or has answered recently. */
-    fun reachesMajorityOf(next: Membership, now: ComparableTimeMark): Boolean {
-        val reachable = next.voters.count { voter ->
+    /** Whether the voters that commit an entry under [next] include only recently heard ones. */
+    fun reachesCommitOf(next: Membership, now: ComparableTimeMark): Boolean {
+        val quorums = state.quorums(next)
+        val reachable = quorums.present.count { voter ->
             val contact = if (voter == state.name) now else peers[voter]?.lastContact
             contact != null && now - contact <= state.settings.electionTimeout
         }
-        return reachable >= next.majority
+        return reachable >= quorums.commit
     }
 
     /**
@@ -161,15 +170,31 @@
     }
 
     /**
-     * Commits the entries that are durable at a majority of the voters. Only an entry of this term
-     * counts, since an earlier one can still be overwritten although a majority holds it.
+     * Commits the entries that are durable at enough voters. Only an entry of this term counts,
+     * since an earlier one can still be overwritten although a majority holds it.
+     *
+     * Lost identities reduce the number only for entries that were sent together with them: their
+     * holders then ignore what a lost leader may have sent before.
      */
     fun advanceCommit() {
-        val matches = state.membership.voters
+        commitThroughDurable(state.quorums(lost = emptySet()).commit, 0)
+        commitThroughDurable(state.quorums(lost = knownLost).commit, lostKnownFrom)
+    }
+
+    private fun commitThroughDurable(voters: Int, minimumIndex: Long) {
+        val index = state.quorums(lost = knownLost).present
             .map { if (it == state.name) state.log.durableIndex else peers[it]?.matchIndex ?: 0 }
             .sortedDescending()
-        val index = matches.getOrNull(state.membership.majority - 1) ?: return
-        if (state.log.termAt(index) == state.term) state.commitThrough(index)
+            .getOrNull(voters - 1) ?: return
+        val isOfThisTerm = state.log.termAt(index) == state.term
+        if (index >= minimumIndex && isOfThisTerm) state.commitThrough(index)
+    }
+
+    /** Starts to send newly lost identities, with an entry that shows who has received them. */
+    private fun recordLost() {
+        if (state.lost == knownLost) return
+        knownLost = state.lost
+        lostKnownFrom = append(EntryContent.NoOperation)
     }
 
     private fun peerOf(sender: ProcessName, identity: Long): PeerProgress? =
@@ -216,6 +241,8 @@
             totalBytes = transfer.content.size,
             offset = transfer.received,
             content = Payload(transfer.content.copyOfRange(transfer.received, end)),
+            leader = state.identity,
+            lost = state.hardState.lost,
         )
     }
 
@@ -231,6 +258,8 @@
             previousTerm = checkNotNull(state.log.termAt(previousIndex)),
             commitIndex = state.commitIndex,
             entries = state.log.batch(peer.nextIndex, state.settings.maximumBatchBytes),
+            leader = state.identity,
+            lost = state.hardState.lost,
         )
     }
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipReconciler.kt
@@ -12,6 +12,8 @@
  * - a process with a new name is added as a non-voter;
  * - a non-voter that has caught up is promoted;
  * - a non-voter that has not answered for [unreachableLimit] is removed;
+ * - while a process with a new name cannot be added, a voter that has not answered for
+ *   [unreachableLimit] is removed: it is taken to be replaced by that process;
  * - while there are more than [minimumVoters] voters, one that has not answered for
  *   [surplusVoterLimit] is removed, the one that has been silent for longest first.
  *
@@ -57,12 +59,14 @@
     private fun removal(view: MemberView, now: ComparableTimeMark): MembershipChange? {
         val membership = view.membership
         val hasSurplusVoter = membership.voters.size > minimumVoters
+        val hasSuccessor = view.unknownIdentities.keys.any { it !in membership.members }
         return membership.members.keys
             .mapNotNull { process -> view.lastContact(process)?.let { process to now - it } }
             .filter { (process, silence) ->
                 when {
                     !membership.members.getValue(process).isVoter -> silence > unreachableLimit
-                    else -> hasSurplusVoter && silence > surplusVoterLimit
+                    hasSurplusVoter && silence > surplusVoterLimit -> true
+                    else -> hasSuccessor && silence > unreachableLimit
                 }
             }
             .sortedByDescending { (_, silence) -> silence }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipRefusal.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MembershipRefusal.kt
@@ -29,7 +29,7 @@
     /** The member lacks recent entries or has not answered within the election timeout. */
     NOT_CAUGHT_UP,
 
-    /** No majority of the voters after the change has answered recently, so it could not commit. */
+    /** Too few voters of the membership after the change have answered recently to commit it. */
     MAJORITY_SILENT,
 
     /** A cluster without voters could not commit anything. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicaState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicaState.kt
@@ -30,6 +30,9 @@
     val term: Long get() = hardState.term
     val membership: Membership get() = log.membership
 
+    /** Identities known to be lost; always empty if no losses are tolerated. */
+    val lost: Set<Long> get() = hardState.lost.toSet()
+
     /** Whether this replica is a voter in the latest membership it knows. */
     val isVoter: Boolean get() = membership.isVoter(name, identity)
 
@@ -63,6 +66,20 @@
         return this.cluster == cluster
     }
 
+    /**
+     * Records that [identities] have lost their disks. This is final, and kept on disk: a message
+     * that such an identity sent as a leader may still arrive later.
+     */
+    fun recordLost(identities: List<Long>) {
+        if (settings.toleratedLosses == 0 || identities.isEmpty()) return
+        val known = (hardState.lost + identities).distinct().filter { it != identity }
+        update(hardState.copy(lost = known.takeLast(RETAINED_LOST_IDENTITIES)))
+    }
+
+    /** Numbers of voters of [membership] that commits and elections need. */
+    fun quorums(membership: Membership = this.membership, lost: Set<Long> = this.lost): Quorums =
+        Quorums(membership, lost, settings.toleratedLosses)
+
     fun commitThrough(index: Long) {
         if (index <= commitIndex) return
         check(index <= log.lastIndex) { "cannot commit $index, last entry is ${log.lastIndex}" }
@@ -97,4 +114,9 @@
         storage.saveHardState(hardState).orFail()
         isHardStateChanged = false
     }
+
+    private companion object {
+        /** Messages of identities lost before the latest ones are no longer under way. */
+        const val RETAINED_LOST_IDENTITIES = 64
+    }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -8,7 +8,8 @@
 import org.hibiscusproxy.protocol.Payload
 
 /**
- * A replicated log based on Raft. Votes and acknowledgements count only for the identity that the
+ * A replicated log based on Raft, with [Quorums] that keep acknowledged entries when
+ * [ReplicatedLogSettings.toleratedLosses] disks are lost. Votes and acknowledgements count only for the identity that the
  * membership lists, and [flush] releases them only after they are durable. A replica grants no vote
  * while it has contact with a leader, nor for an election timeout after its start, since it does
  * not store when it last had such contact; [majorityContact] relies on both.
@@ -55,6 +56,9 @@
     /** This replica's identity, generated when its storage was created. */
     val identity: Long get() = state.identity
 
+    /** Identities that are known to have lost their disks. */
+    val lostIdentities: Set<Long> get() = state.lost
+
     /** The latest membership that this replica knows, committed or not. */
     val membership: Membership get() = state.membership
 
@@ -176,6 +180,8 @@
 
     private fun onVoteRequest(sender: ProcessName, request: VoteRequest, now: ComparableTimeMark) {
         if (!state.hasCluster || !state.acceptAddress(request.cluster, request.receiver)) return
+        state.recordLost(request.lost)
+        if (request.candidate in state.lost) return
         val isGranted = !hasRecentLeader(now) && state.canVote(request)
         if (isGranted && !request.isPreVote) {
             if (request.term > term) becomeFollower(request.term, leader = null, now)
@@ -217,6 +223,8 @@
 
     private fun onAppend(sender: ProcessName, message: AppendRequest, now: ComparableTimeMark) {
         if (!state.acceptAddress(message.cluster, message.receiver)) return
+        state.recordLost(message.lost)
+        if (message.leader in state.lost) return
         val isAccepted = acceptLeader(sender, message.term, now) && state.matches(message)
         val index = if (isAccepted) state.appendEntries(message) else state.retryIndex(message)
         state.send(sender, state.replyTo(message, isAccepted, index))
@@ -228,6 +236,8 @@
         now: ComparableTimeMark,
     ) {
         if (!state.acceptAddress(chunk.cluster, chunk.receiver)) return
+        state.recordLost(chunk.lost)
+        if (chunk.leader in state.lost) return
         val received = when {
             !acceptLeader(sender, chunk.term, now) -> 0
             chunk.index <= state.commitIndex -> chunk.totalBytes
@@ -240,7 +250,10 @@
     /** Follows [sender] as the leader of [term], unless that term is over. */
     private fun acceptLeader(sender: ProcessName, term: Long, now: ComparableTimeMark): Boolean {
         if (term < this.term) return false
-        check(term > this.term || leadership == null) { "$sender also leads term $term" }
+        if (term == this.term && leadership != null) {
+            check(state.lost.isNotEmpty()) { "$sender also leads term $term" }
+            return false
+        }
         becomeFollower(term, sender, now)
         timer.recordLeaderContact(now)
         return true
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSettings.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSettings.kt
@@ -19,6 +19,9 @@
  * @property snapshotBytes size of applied entries after which the next snapshot is taken
  * @property trailingEntries entries retained behind a snapshot so that a slow peer needs no
  * snapshot
+ * @property toleratedLosses number of disks that may be lost together without losing a committed
+ * entry; must be 0 unless a name never denotes two running processes, since an identity then counts
+ * as lost once its name is used with another one
  * @property promotionLagEntries maximum number of entries that a non-voter may lack when promoted
  */
 data class ReplicatedLogSettings(
@@ -33,6 +36,7 @@
     val snapshotBytes: Long = 16L * 1024 * 1024,
     val trailingEntries: Int = 500,
     val promotionLagEntries: Int = 64,
+    val toleratedLosses: Int = 0,
 ) {
     init {
         require(heartbeatInterval.isPositive()) {
@@ -54,6 +58,7 @@
         require(promotionLagEntries >= 0) {
             "promotionLagEntries must not be negative: $promotionLagEntries"
         }
+        require(toleratedLosses >= 0) { "toleratedLosses must not be negative: $toleratedLosses" }
         require(bootstrap.distinct().size == bootstrap.size) {
             "bootstrap names a process twice: $bootstrap"
         }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Votes.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Votes.kt
@@ -1,10 +1,15 @@
 package org.hibiscusproxy.consensus
 
-/** Whether this replica may vote for the candidate of [request] in the requested term. */
+/**
+ * Whether this replica may vote for the candidate of [request] in the requested term. A candidate
+ * that knows of lost identities may need fewer votes than a leader of the same term that is among
+ * them had, so this replica must not have taken part in that term.
+ */
 internal fun ReplicaState.canVote(request: VoteRequest): Boolean {
     val mayVoteInTerm = when {
         request.term > term -> true
         request.term < term || request.isPreVote -> false
+        request.lost.isNotEmpty() -> hardState.vote == request.candidate
         else -> hardState.vote in setOf(NO_IDENTITY, request.candidate)
     }
     val isUpToDate = request.lastTerm > log.lastTerm ||
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSimulationTest.kt
@@ -9,7 +9,8 @@
 
 /**
  * Guards against violations of the log's guarantees under random faults. A failure reports its
- * seed; `-Dconsensus.seed=N` runs only that seed, `-Dconsensus.seeds=N` the first N seeds.
+ * seed; `-Dconsensus.seed=N` runs only that seed, `-Dconsensus.seeds=N` the first N seeds, and
+ * `-Dconsensus.loss.seeds=N` at most N of them in the runs with lost disks.
  */
 class ReplicatedLogSimulationTest {
     private val seeds: Iterable<Long> =
@@ -68,25 +69,69 @@
         }
     }
 
-    private fun runSeeds(size: Int, reconciler: MembershipReconciler? = null) {
+    /** As many disks as the settings tolerate are lost together, at any moment. */
+    @Nested
+    inner class LostDisks {
+        @Test
+        fun `three replicas keep what they acknowledged without one`() = runLosses(3, 1)
+
+        @Test
+        fun `three replicas keep what they acknowledged without two`() = runLosses(3, 2)
+
+        @Test
+        fun `four replicas keep what they acknowledged without two`() = runLosses(4, 2)
+
+        @Test
+        fun `four replicas keep what they acknowledged without three`() = runLosses(4, 3)
+
+        @Test
+        fun `five replicas keep what they acknowledged without two`() = runLosses(5, 2)
+
+        @Test
+        fun `five replicas keep what they acknowledged without three`() = runLosses(5, 3)
+
+        @Test
+        fun `six replicas keep what they acknowledged without two`() = runLosses(6, 2)
+
+        private fun runLosses(size: Int, toleratedLosses: Int) = runSeeds(
+            size,
+            MembershipReconciler(2 * toleratedLosses + 1, UNREACHABLE_LIMIT),
+            toleratedLosses,
+            seeds.take(LOSS_SEEDS),
+        )
+    }
+
+    private fun runSeeds(
+        size: Int,
+        reconciler: MembershipReconciler? = null,
+        toleratedLosses: Int = 0,
+        seeds: Iterable<Long> = this.seeds,
+    ) {
         var acknowledged = 0
         seeds.forEach { seed ->
-            val simulation = Simulation(seed, size, plan(seed), settings(seed), reconciler)
+            val settings = settings(seed).copy(toleratedLosses = toleratedLosses)
+            val plan = if (toleratedLosses == 0) plan(seed) else plan(seed).withLostDisks()
+            val simulation = Simulation(seed, size, plan, settings, reconciler)
             try {
                 simulation.start()
                 simulation.run(milliseconds = 25_000)
                 simulation.settle()
             } catch (thrown: Exception) {
-                throw AssertionError("size $size, -Dconsensus.seed=$seed: $thrown", thrown)
+                throw AssertionError(
+                    "size $size, losses $toleratedLosses, -Dconsensus.seed=$seed: $thrown",
+                    thrown,
+                )
             }
             acknowledged += simulation.checker.acknowledgedIdentifiers.size
         }
+        println("size $size, losses $toleratedLosses: $acknowledged acknowledged commands")
         assertTrue(acknowledged > 100 * seeds.count(), "only $acknowledged commands acknowledged")
     }
 
     private companion object {
         /** 1,000 runs over the four tests. */
         const val DEFAULT_SEEDS = 250L
+        val LOSS_SEEDS: Int = Integer.getInteger("consensus.loss.seeds", 50)
         val UNREACHABLE_LIMIT = 2.seconds
         const val DELAYED_STEPS = 25
     }
@@ -101,6 +146,8 @@
         removal = if (seed % 5 > 1) 0.002 else 0.0,
     )
 
+    private fun FaultPlan.withLostDisks() = copy(wipe = 0.002, removal = 0.0)
+
     private fun settings(seed: Long) = ReplicatedLogSettings(
         name = ProcessName("-"),
         bootstrap = emptyList(),
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
@@ -25,7 +25,8 @@
     seed: Long,
     size: Int,
     private val faults: FaultPlan = FaultPlan(),
-    settings: ReplicatedLogSettings = ReplicatedLogSettings(ProcessName("-"), emptyList()),
+    private val settings: ReplicatedLogSettings =
+        ReplicatedLogSettings(ProcessName("-"), emptyList()),
     private val reconciler: MembershipReconciler? = null,
 ) {
     val random = Random(seed)
@@ -211,9 +212,35 @@
         replica.restartAt = now + random.nextLong(50, 3_000)
     }
 
-    /** Wipes a disk only if a majority of the voters of each current membership keep theirs. */
     private fun wipeOne() {
         val replica = replicas.values.random(random)
+        if (settings.toleratedLosses >
+            0
+        ) {
+            wipeIfTolerated(replica)
+        } else {
+            wipeIfMajorityRemains(replica)
+        }
+    }
+
+    /** Wipes the disk of [replica] if at most the tolerated number is then lost or not yet replaced. */
+    private fun wipeIfTolerated(replica: SimulatedReplica) {
+        val memberships = replicas.values.mapNotNull { it.log?.membership }
+            .filter { it != Membership.EMPTY }
+        val isFormed = memberships.size > replicas.size / 2
+        val missing = replicas.values.filter { other ->
+            other == replica || memberships.any { !it.isVoter(other.name, other.identity) }
+        }
+        if (isFormed && missing.size <= settings.toleratedLosses) wipe(replica)
+    }
+
+    private fun wipe(replica: SimulatedReplica) {
+        replica.wipe()
+        replica.restartAt = now + random.nextLong(50, 2_000)
+    }
+
+    /** Wipes a disk only if a majority of the voters of each current membership keep theirs. */
+    private fun wipeIfMajorityRemains(replica: SimulatedReplica) {
         val memberships = replicas.values.mapNotNull { it.log?.membership }
         val disks = replicas.values.filter { it != replica }.associate { it.name to it.identity }
         val isTolerable = memberships.size == replicas.size && memberships.all { membership ->
@@ -223,9 +250,7 @@
             membership.voters.isEmpty() || intact >= membership.majority
         }
         val isFormed = memberships.count { it.voters.isNotEmpty() } > replicas.size / 2
-        if (!isTolerable || !isFormed) return
-        replica.wipe()
-        replica.restartAt = now + random.nextLong(50, 2_000)
+        if (isTolerable && isFormed) wipe(replica)
     }
 
     /** Removes a voter only while all disks are intact; otherwise no majority might remain. */
