--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -7,6 +7,7 @@
 import java.nio.file.Path
 import java.security.SecureRandom
 import java.util.concurrent.CompletableFuture
+import kotlin.random.Random
 import kotlin.random.asKotlinRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,6 +20,8 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
 import org.hibiscusproxy.consensus.FileLogStorage
+import org.hibiscusproxy.consensus.LogStorage
+import org.hibiscusproxy.consensus.MemoryLogStorage
 import org.hibiscusproxy.consensus.ReplicatedLog
 import org.hibiscusproxy.consensus.ReplicatedLogSettings
 import org.hibiscusproxy.consensus.StorageFailure
@@ -40,7 +43,7 @@
  */
 class Controller private constructor(
     private val dependencies: ControllerDependencies,
-    private val storage: FileLogStorage,
+    private val storage: LogStorage,
     log: ReplicatedLog,
     state: ControlState,
 ) : AutoCloseable {
@@ -75,7 +78,7 @@
             ::submit,
         )
     }
-    private val discovery = settings.targetList?.let { address ->
+    private val discovery = settings.targetList?.takeIf { settings.hasDisk }?.let { address ->
         TargetDiscovery(dependencies.ports.targetReader(address), TARGET_LIST_INTERVAL) {
             worker.submit(ControllerInput.Targets(it))
         }
@@ -162,9 +165,7 @@
             dependencies: ControllerDependencies,
         ): Result<Controller, StorageFailure> {
             val random = SecureRandom().asKotlinRandom()
-            val folder = Path.of(dependencies.settings.dataFolder)
-            val identity = generateSequence { random.nextLong() }.first { it != 0L }
-            val storage = FileLogStorage.open(folder, identity).getOrElse { return Err(it) }
+            val storage = openStorage(dependencies.settings, random).getOrElse { return Err(it) }
             val state = ControlState()
             val now = TimeSource.Monotonic.markNow()
             val log = ReplicatedLog.open(logSettings(dependencies), storage, state, random, now)
@@ -183,6 +184,18 @@
             return Ok(controller)
         }
 
+        private fun openStorage(
+            settings: ControllerSettings,
+            random: Random,
+        ): Result<LogStorage, StorageFailure> {
+            if (!settings.hasDisk) {
+                LOG.info("controller: no data folder, so this controller only names the others")
+                return Ok(MemoryLogStorage.ofObserver())
+            }
+            val identity = generateSequence { random.nextLong() }.first { it != 0L }
+            return FileLogStorage.open(Path.of(settings.dataFolder), identity)
+        }
+
         private fun logSettings(dependencies: ControllerDependencies) = ReplicatedLogSettings(
             name = dependencies.name,
             bootstrap = dependencies.controllers.map { it.name },
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -72,7 +72,7 @@
         state,
         time,
         { leadership.active()?.let { log.majorityContact } },
-        { log.membership.members.keys.toList() },
+        { log.knownMembers },
         { crashes.initialMessages() },
     )
     private val streams = StreamService(log, state, leadership, proposals, time)
@@ -137,7 +137,7 @@
         entries.advance()
         orders.advance()
         isLeading = leadership.active() != null
-        toleranceWatch.advance(log.membership)
+        if (!log.isObserver) toleranceWatch.advance(log.membership)
         val now = time.markNow()
         prune(now)
         closeSubscribersWithoutLeader(now)
@@ -266,7 +266,7 @@
     }
 
     private fun closeSubscribersWithoutLeader(now: ComparableTimeMark) {
-        leaderWatch.advance()
+        if (!log.isObserver) leaderWatch.advance()
         if (leaderWatch.leaderlessTime <= LEADERLESS_LIMIT) return
         subscriptions.closeOlderThan(now - LEADERLESS_LIMIT)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -190,7 +190,10 @@
     val listen: NetworkAddress,
     @Setting("IP address and port of the listener for operators; none when null.")
     val operators: NetworkAddress? = null,
-    @Setting("Folder for the replicated log and snapshots; used by one process at a time.")
+    @Setting(
+        "Folder for the replicated log and snapshots; used by one process at a time. If empty, " +
+            "the controller stores nothing, never becomes a member and only names the others.",
+    )
     val dataFolder: String,
     @Setting(
         "Duration of the leases granted to sidecars.",
@@ -240,4 +243,7 @@
     val targetList: NetworkAddress? = null,
     @Setting("IP address and port of the platform's interface for routing; none when null.")
     val routingOperators: NetworkAddress? = null,
-)
+) {
+    /** Whether the controller has a data folder. */
+    val hasDisk: Boolean get() = dataFolder.isNotEmpty()
+}
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ClusterFormation.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ClusterFormation.kt
@@ -11,7 +11,8 @@
  *
  * All of them must reply, because a majority is not enough: if A and B have committed entries that
  * C has not received yet, B loses its disk and A is down, then B and C both look new and could
- * create a second cluster without those entries. A member of the first cluster that still has its
+ * create a second cluster without those entries. A process without a disk replies as an observer
+ * and is left out. A member of the first cluster that still has its
  * disk prevents this: it replies that it belongs to a cluster, or does not reply while it is
  * unreachable. A replica belongs to the first cluster that it learns of for as long as its disk
  * exists. A reply counts only if it carries the identity of the asker, so replies to a process that
@@ -52,7 +53,9 @@
         if (!state.hasCluster && state.settings.mayFound) createClusterIfPossible()
         if (isMember() && !isIsolated) return
         val last = announcedAt
-        val interval = state.settings.heartbeatInterval * ANNOUNCEMENT_INTERVALS
+        val intervals =
+            if (state.isObserver) OBSERVER_ANNOUNCEMENT_INTERVALS else ANNOUNCEMENT_INTERVALS
+        val interval = state.settings.heartbeatInterval * intervals
         if (last != null && now - last < interval) return
         announcedAt = now
         val announcement =
@@ -60,12 +63,15 @@
         otherProcesses().forEach { state.send(it, announcement) }
     }
 
+    /** Processes that may be members, for a replica that knows no membership. */
+    val knownProcesses: Set<ProcessName> get() = contacts
+
     fun addContacts(processes: List<ProcessName>) {
         contacts.addAll(processes)
     }
 
     fun receive(sender: ProcessName, message: Announcement) {
-        announcedIdentities[sender] = message.identity
+        if (message.identity != NO_IDENTITY) announcedIdentities[sender] = message.identity
         lastTick?.let { lastAnnouncements[sender] = it }
         state.recordLost(message.lost)
         val first = state.log.takeIf { it.baseIndex == 0L && it.lastIndex > 0 }?.get(1)?.content
@@ -108,9 +114,11 @@
     }
 
     private fun createClusterIfPossible() {
-        val names = state.settings.bootstrap
+        if (state.isObserver) return
+        val listed = state.settings.bootstrap
+        if (!candidates.keys.containsAll(listed.filter { it != state.name })) return
+        val names = listed.filter { candidates[it] != NO_IDENTITY }
         if (names.minByOrNull { it.value } != state.name) return
-        if (!candidates.keys.containsAll(names.filter { it != state.name })) return
         val membership = Membership(
             names.sortedBy { it.value }.associateWith {
                 val identity = if (it == state.name) state.identity else candidates.getValue(it)
@@ -146,6 +154,9 @@
         /** Heartbeat intervals between two announcements of a replica without a membership. */
         const val ANNOUNCEMENT_INTERVALS = 2
 
+        /** The same for an observer, which waits for nothing. */
+        const val OBSERVER_ANNOUNCEMENT_INTERVALS = 20
+
         /** Heartbeat intervals for which an announced identity counts as present. */
         const val UNKNOWN_IDENTITY_INTERVALS = 10
     }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MemoryLogStorage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/MemoryLogStorage.kt
@@ -5,7 +5,7 @@
 import kotlin.random.Random
 
 /**
- * In-memory storage for tests, which loses unsynced entries in a [crash].
+ * In-memory storage, which loses unsynced entries in a [crash]: for tests, and for observers.
  */
 class MemoryLogStorage(identity: Long) : LogStorage {
     private var hardState = HardState(identity)
@@ -71,4 +71,12 @@
     }
 
     override fun close() = Unit
+
+    companion object {
+        /**
+         * Storage of an observer: a process without a disk, which has no identity, never becomes a
+         * member, and only learns from other replicas who the members are.
+         */
+        fun ofObserver(): MemoryLogStorage = MemoryLogStorage(NO_IDENTITY)
+    }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicaState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicaState.kt
@@ -43,6 +43,9 @@
         commitThrough(minOf(hardState.committed, log.lastIndex))
     }
 
+    /** Whether this replica has no disk and never becomes a member. */
+    val isObserver: Boolean get() = identity == NO_IDENTITY
+
     val hasCluster: Boolean get() = cluster != NO_IDENTITY
 
     fun update(next: HardState) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -56,6 +56,17 @@
     /** This replica's identity, generated when its storage was created. */
     val identity: Long get() = state.identity
 
+    /** The members, or what an observer has learned about them. */
+    val knownMembers: List<ProcessName>
+        get() = (
+            state.membership.members.keys +
+                formation.knownProcesses.filter { state.isObserver }
+            )
+            .toList()
+
+    /** Whether this replica has no disk and never becomes a member. */
+    val isObserver: Boolean get() = state.isObserver
+
     /** Identities that are known to have lost their disks. */
     val lostIdentities: Set<Long> get() = state.lost
 
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedReplica.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/SimulatedReplica.kt
@@ -46,6 +46,7 @@
     val settings: ReplicatedLogSettings,
     private val checker: HistoryChecker,
     private val random: Random,
+    private val hasDisk: Boolean = true,
 ) {
     val name: ProcessName get() = settings.name
     val pending = mutableMapOf<Long, PendingCommand>()
@@ -85,7 +86,9 @@
     }
 
     private fun replaceDisk() {
-        identity = random.nextLong()
-        storage = CrashingStorage(MemoryLogStorage(identity))
+        identity = if (hasDisk) random.nextLong() else NO_IDENTITY
+        storage = CrashingStorage(
+            if (hasDisk) MemoryLogStorage(identity) else MemoryLogStorage.ofObserver(),
+        )
     }
 }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/Simulation.kt
@@ -28,13 +28,15 @@
     private val settings: ReplicatedLogSettings =
         ReplicatedLogSettings(ProcessName("-"), emptyList()),
     private val reconciler: MembershipReconciler? = null,
+    observers: Set<Int> = emptySet(),
 ) {
     val random = Random(seed)
     val checker = HistoryChecker()
     val network = SimulatedNetwork(random)
     private val names = (1..size).map { ProcessName("c$it") }
-    val replicas = names.associateWith {
-        SimulatedReplica(settings.copy(name = it, bootstrap = names), checker, random)
+    val replicas = names.withIndex().associate { (index, name) ->
+        val own = settings.copy(name = name, bootstrap = names)
+        name to SimulatedReplica(own, checker, random, hasDisk = index + 1 !in observers)
     }
     private val time = TestTimeSource()
     private var partitionEndsAt = 0L
