Bound the events of a resumable stream, and search each byte once

Cause: EventSplitter kept what has no blank line without a limit and searched all of it for each part, on the only event loop. Ruled out: memory (6 MB had been read) and reads that starve the loop (a plain body at the same rate delays nobody).

Change: each byte is searched once; an event over 262,144 bytes ends the attempt. Nearby: an error or refusal without an end, after which another target is tried, is left after 65,536 bytes instead of at the route's timeout; 1 MiB of answers to no request closes the connection.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/EventSplitter.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/EventSplitter.kt
@@ -6,11 +6,17 @@
 
 /**
  * Splits a stream of server-sent events at blank lines, so that only complete events are
- * forwarded, and records the identifier of the last one.
+ * forwarded, and records the identifier of the last one. Each byte is searched once.
  */
-internal class EventSplitter {
+internal class EventSplitter(private val maximumEventBytes: Int = MAXIMUM_EVENT_BYTES) {
     private var buffer: ByteBuf = Unpooled.buffer()
 
+    /** Bytes at the start of [buffer] that are known not to end an event. */
+    private var searchedBytes = 0
+
+    /** Whether the event in progress is longer than the limit. */
+    val isEventTooLong: Boolean get() = buffer.readableBytes() > maximumEventBytes
+
     /** Identifier of the last complete event; null before the first one. */
     var lastIdentifier: String? = null
         private set
@@ -21,6 +27,7 @@
         val end = endOfLastEvent()
         val events = buffer.readBytes(end - buffer.readerIndex())
         buffer.discardReadBytes()
+        searchedBytes = buffer.readableBytes()
         updateLastIdentifier(events)
         return events
     }
@@ -28,11 +35,13 @@
     /** Discards an incomplete event; the resumed stream sends it again. */
     fun discardPartialEvent() {
         buffer.clear()
+        searchedBytes = 0
     }
 
     private fun endOfLastEvent(): Int {
         var index = buffer.writerIndex() - 1
-        while (index > buffer.readerIndex()) {
+        val first = buffer.readerIndex() + maxOf(searchedBytes, 1)
+        while (index >= first) {
             if (buffer.getByte(index) == LINE_FEED && endsBlankLine(index)) return index + 1
             index -= 1
         }
@@ -55,9 +64,11 @@
         lastIdentifier = line.removePrefix(IDENTIFIER_FIELD).trim()
     }
 
-    private companion object {
-        const val LINE_FEED = '\n'.code.toByte()
-        const val CARRIAGE_RETURN = '\r'.code.toByte()
-        const val IDENTIFIER_FIELD = "id:"
+    companion object {
+        /** Maximum size in bytes of an event of a resumable stream. */
+        const val MAXIMUM_EVENT_BYTES = 262_144
+        private const val LINE_FEED = '\n'.code.toByte()
+        private const val CARRIAGE_RETURN = '\r'.code.toByte()
+        private const val IDENTIFIER_FIELD = "id:"
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -28,6 +28,7 @@
     private var isFinished = false
     private var responseStatus = 0
     private var isDiscarded = false
+    private var discardedBytes = 0L
     private var isReportedNotExecuted = false
     private val startedAt = exchange.node.time.markNow()
     private var sentAt: ComparableTimeMark? = null
@@ -168,7 +169,8 @@
     }
 
     override fun onContent(content: HttpContent) {
-        if (isDiscarded || isFinished) return
+        if (isFinished) return
+        if (isDiscarded) return discard(content.content())
         if (!evidence.isStartOfAnswer) recordSurvival()
         if (isEventStream) followEvents(content.content())
         bufferedBody?.let {
@@ -179,9 +181,20 @@
         val bytes = splitter?.append(content.content()) ?: content.content().retain()
         if (splitter != null && bytes.isReadable) exchange.onEventsForwarded(target)
         if (bytes.isReadable) exchange.caller.writeContent(bytes) else bytes.release()
+        if (splitter?.isEventTooLong == true) {
+            return rejectInvalid("event exceeds ${EventSplitter.MAXIMUM_EVENT_BYTES} bytes")
+        }
         if (!exchange.caller.isWritable) connection?.setReading(false)
     }
 
+    /** Skips [bytes] of an answer that is not forwarded; a long one is not read to its end. */
+    private fun discard(bytes: ByteBuf) {
+        discardedBytes += bytes.readableBytes()
+        if (discardedBytes <= MAXIMUM_DISCARDED_BYTES) return
+        connection?.cancel()
+        onEnd()
+    }
+
     override fun onEnd() {
         if (isFinished) return
         if (isDiscarded) {
@@ -257,5 +270,8 @@
 
         /** Responses of plain services are smaller; longer responses are streamed. */
         const val MAXIMUM_BUFFERED_BYTES = 65_536L
+
+        /** Reading a longer answer costs more than a new connection. */
+        const val MAXIMUM_DISCARDED_BYTES = 65_536L
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -51,6 +51,7 @@
     private val refusedIdentifiers = LinkedHashSet<String>()
     private var isRequestWritten = false
     private var isSkippingResponse = false
+    private var skippedBytes = 0L
     private var isReadingResponse = false
     private var isFailed = false
     private var isKeepAlive = false
@@ -162,7 +163,9 @@
     private fun readContent(content: HttpContent) {
         val isLast = content is LastHttpContent
         if (isSkippingResponse) {
+            skippedBytes += content.content().readableBytes()
             if (isLast) isSkippingResponse = false
+            if (skippedBytes > MAXIMUM_SKIPPED_BYTES) fail("responses to no request are too long")
             return
         }
         if (!isReadingResponse) return
@@ -202,6 +205,9 @@
 
     private companion object {
         const val MAXIMUM_REFUSED_IDENTIFIERS = 16
+
+        /** Bytes of skipped responses after which a connection is closed. */
+        const val MAXIMUM_SKIPPED_BYTES = 1_048_576L
         val INFORMATIONAL_STATUSES = 100..199
 
         /** Targets that close idle connections within a second do not state their timeout. */
