Answer requests before the grace of a planned stop ends

Callers here would have seen a closed connection without a byte, also for requests that may not be repeated.

Cause: graceSeconds was read by nobody. A stop waited up to shutdownSeconds (60 s), while the platform ends the process after 8 s, and a request was taken whatever its timeout was. Ruled out: the listener, which closes after 3 s on purpose.

Change: ShutdownSchedule. Later than 3 s after the signal a request is served only if its timeout ends within the grace; otherwise 503 not-run with Retry-After, and no target gets it. What is in progress 0.4 s before the end is answered.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -189,6 +189,9 @@
         if (isIdle && lastProgress.elapsedNow() >= minimum) channel.close()
     }
 
+    /** Answers the request in progress before the process ends; returns whether there was one. */
+    fun endRequest(): Boolean = exchange?.onProcessEnd() ?: false
+
     private fun setConnectionHeader(response: HttpResponse) {
         if (node.isDraining) isKeepAlive = false
         if (!isKeepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -106,6 +106,9 @@
         }
         val routeTimeout = matchedRoute.timeoutMilliseconds.milliseconds
         timeout = minOf(routeTimeout, metadata.callerTimeout ?: routeTimeout)
+        if (node.shutdown?.permits(remaining) == false) {
+            return refuse(FinalReason.SHUTTING_DOWN, ANOTHER_PROCESS_RETRY_AFTER)
+        }
         val chosen = matchedRoute.selectService(node.random)
         service = chosen
         node.retryLimiter.recordRequest(chosen)
@@ -190,6 +193,20 @@
         complete("caller-left", FinalReason.CALLER_LEFT)
     }
 
+    /** Answers the caller before the process ends; returns whether the request was in progress. */
+    fun onProcessEnd(): Boolean {
+        if (isCompleted) return false
+        val wasNotSent = !mayHaveRun && currentAttempt?.wasNotSent != false
+        currentAttempt?.cancel(AttemptResult.INCONCLUSIVE)
+        val reason = FinalReason.SHUTTING_DOWN
+        when {
+            isHeadSent -> abort(reason)
+            wasNotSent -> refuse(reason, ANOTHER_PROCESS_RETRY_AFTER)
+            else -> fail(HttpResponseStatus.GATEWAY_TIMEOUT, reason, ErrorResponses.UNKNOWN)
+        }
+        return true
+    }
+
     private fun onTimeout() {
         if (isCompleted) return
         val isUnresponsive = !isHeadSent && startedAt.elapsedNow() > UNRESPONSIVE_AFTER
@@ -339,6 +356,9 @@
         /** Leaves time for the target's own timeout response to arrive. */
         val TIMEOUT_GRACE = 100.milliseconds
 
+        /** Other processes serve; a caller that finds this one again is refused again. */
+        val ANOTHER_PROCESS_RETRY_AFTER = 50.milliseconds
+
         /** A fully loaded target typically frees a slot within this time. */
         val BUSY_RETRY_AFTER = 150.milliseconds
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
@@ -46,6 +46,9 @@
     /** No controller has told which version began the stream. */
     ORIGIN_NOT_TOLD("origin-not-told"),
 
+    /** The process shuts down before the request can end. */
+    SHUTTING_DOWN("shutting-down"),
+
     /** The timeout of the route or of the caller has passed. */
     TIMEOUT("timeout"),
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -131,19 +131,30 @@
     /**
      * Reports itself as not ready, continues to serve until the platform sends no new connections,
      * then waits for the requests in progress and closes connections that have been idle for a
-     * moment: the request of a new one may be on its way. Returns the number of requests that are
-     * still in progress after [timeout].
+     * moment: the request of a new one may be on its way. Requests that are still in progress
+     * shortly before the platform ends the process, or after [timeout], are answered with a failure;
+     * returns their number.
      */
     override suspend fun drain(timeout: Duration): Int {
         val startedAt = TimeSource.Monotonic.markNow()
+        val limit = minOf(timeout, section.graceSeconds.seconds - END_MARGIN)
+            .coerceAtLeast(section.graceSeconds.seconds / 2)
+        val acceptingTime = minOf(NOT_READY_TIME, limit / 2)
         isReady = false
-        withContext(loop.asCoroutineDispatcher()) { node.isDraining = true }
-        delay(minOf(NOT_READY_TIME, timeout / 2))
+        withContext(loop.asCoroutineDispatcher()) {
+            node.shutdown = ShutdownSchedule(startedAt, acceptingTime, limit)
+        }
+        delay(acceptingTime)
         withContext(loop.asCoroutineDispatcher()) {
             server.stopAccepting()
         }
-        while (closeIdle() > 0 && startedAt.elapsedNow() < timeout) delay(DRAIN_CHECK_INTERVAL)
-        return withContext(loop.asCoroutineDispatcher()) { node.activeExchanges }
+        while (closeIdle() > 0 && startedAt.elapsedNow() < limit) delay(DRAIN_CHECK_INTERVAL)
+        val ended = withContext(loop.asCoroutineDispatcher()) { server.endRequests() }
+        val endedAt = TimeSource.Monotonic.markNow()
+        while (ended > 0 && closeIdle() > 0 && endedAt.elapsedNow() < WRITE_TIME) {
+            delay(DRAIN_CHECK_INTERVAL)
+        }
+        return ended
     }
 
     private suspend fun closeIdle(): Int =
@@ -166,5 +177,11 @@
         /** Callers send the first request well within this time after they have connected. */
         val MINIMUM_IDLE_TIME = 500.milliseconds
         val DRAIN_CHECK_INTERVAL = 20.milliseconds
+
+        /** Time before the end of the grace in which the last answers are written. */
+        val END_MARGIN = 400.milliseconds
+
+        /** Time for which the last answers are waited for. */
+        val WRITE_TIME = 200.milliseconds
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -61,8 +61,11 @@
     var revision = 0L
         private set
 
+    /** Times of the graceful shutdown; null unless one is in progress. */
+    var shutdown: ShutdownSchedule? = null
+
     /** Whether the forwarder shuts down gracefully; responses then close their connections. */
-    var isDraining = false
+    val isDraining: Boolean get() = shutdown != null
 
     /** Called when a target has crashed. */
     var onCrash: () -> Unit = {}
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
@@ -54,6 +54,9 @@
         return callers.size
     }
 
+    /** Answers all requests in progress and returns their number. Called on the event loop. */
+    fun endRequests(): Int = callers.toList().count { it.endRequest() }
+
     fun close() = listeners.forEach { it.close() }
 
     private fun bind(address: NetworkAddress, initialize: (SocketChannel) -> Unit): Channel =
