--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerLossSimulation.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerLossSimulation.kt
@@ -113,6 +113,33 @@
         controller.isPartitioned = false
     }
 
+    /**
+     * The disks of all controllers are full for [duration] one after another, [pause] apart. A
+     * controller that ends because of it is started again after a moment, full disk or not.
+     */
+    fun fillDisksInTurn(duration: Duration, pause: Duration) {
+        faults += "${network.elapsed()} fillDisksInTurn $duration $pause"
+        running.shuffled(random).forEach { controller ->
+            controller.isDiskFull = true
+            val end = network.elapsed() + duration
+            while (network.elapsed() < end) {
+                run(RESTART_DELAY)
+                controller.start()
+            }
+            controller.isDiskFull = false
+            run(RESTART_DELAY)
+            controller.start()
+            run(pause)
+        }
+    }
+
+    /** Whether a change sent now is acknowledged within [duration]. */
+    fun acknowledgesWithin(duration: Duration): Boolean {
+        val before = publishedVersion
+        run(duration)
+        return acknowledged > before
+    }
+
     /** One misses changes, one of the others loses its disk, the third is away when the cut heals. */
     fun leaveOnlyOneBehind(missed: Duration, away: Duration) {
         faults += "${network.elapsed()} leaveOnlyOneBehind $missed $away"
@@ -280,6 +307,9 @@
 
     private companion object {
         const val ENTRIES = 4
+
+        /** Time after which the platform starts a process that has ended by itself. */
+        val RESTART_DELAY = 300.milliseconds
         val STEP = 20.milliseconds
         val PUBLISH_INTERVAL = 300.milliseconds
         val READ_TIME = 1_200.milliseconds
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerLossTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ControllerLossTest.kt
@@ -4,6 +4,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.Nested
 
@@ -45,8 +46,32 @@
         }
     }
 
+    /** Guards against changes that are refused to the end once all disks were full in turn. */
+    @Nested
+    inner class `Changes after full disks` {
+        @Test
+        fun `are acknowledged once all of them have room again`() {
+            val failed = seeds.mapNotNull { seed ->
+                val simulation = ControllerLossSimulation(seed)
+                simulation.run(5.seconds)
+                val length = simulation.random.nextInt(100, 8_000).milliseconds
+                val pause = simulation.random.nextInt(0, 5_000).milliseconds
+                simulation.fillDisksInTurn(length, pause)
+                val isAcknowledged = simulation.acknowledgesWithin(ACKNOWLEDGEMENT_TIME)
+                simulation.isPublishing = false
+                val isRead = simulation.canBeRead(RECOVERY_TIME)
+                "seed $seed: $isAcknowledged $isRead $simulation"
+                    .takeUnless { isAcknowledged && isRead }
+            }
+            assertEquals("", failed.joinToString("\n"))
+        }
+    }
+
     private companion object {
         const val FAULTS = 6
         val RECOVERY_TIME = 12.seconds
+
+        /** `ack-ms` of the users' deployments. */
+        val ACKNOWLEDGEMENT_TIME = 4.seconds
     }
 }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
@@ -6,6 +6,7 @@
 import org.hibiscusproxy.consensus.MemoryLogStorage
 import org.hibiscusproxy.consensus.ReplicatedLog
 import org.hibiscusproxy.consensus.ReplicatedLogSettings
+import org.hibiscusproxy.consensus.StorageFailureException
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.LeaseSettings
 import org.hibiscusproxy.model.DataCenterName
@@ -53,6 +54,8 @@
             mayFound,
             snapshotEntries = 50,
             trailingEntries = 5,
+            toleratedLosses =
+            if (membership.reconciler == null) 0 else membership.toleratedLosses,
         )
         log =
             ReplicatedLog.open(settings, storage, state, network.random, network.time.markNow())
@@ -69,7 +72,15 @@
         )
     }
 
-    private fun emptyStorage() = MemoryLogStorage(network.random.nextLong())
+    private fun emptyStorage() =
+        FillableStorage(MemoryLogStorage(network.random.nextLong()), network.random)
+
+    /** Whether the disk takes no more bytes; the process then ends with its next write. */
+    var isDiskFull: Boolean
+        get() = storage.isFull
+        set(value) {
+            storage.isFull = value
+        }
 
     /** Identity that its disk gives this controller. */
     val identity: Long get() = log.identity
@@ -90,7 +101,7 @@
 
     /** Loses power; what was not synced is lost. */
     fun stop() {
-        if (isRunning) storage.crash(network.random)
+        if (isRunning) storage.crash()
         isRunning = false
     }
 
@@ -108,7 +119,12 @@
     }
 
     fun advance() {
-        if (isRunning) core.advance()
+        if (!isRunning) return
+        try {
+            core.advance()
+        } catch (_: StorageFailureException) {
+            stop()
+        }
     }
 
     fun receive(session: PeerSession, message: PeerMessage) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ChecksummedFile.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ChecksummedFile.kt
@@ -18,7 +18,7 @@
     private const val HEADER_BYTES = 12
     private const val MAGIC = 0x48424331
 
-    fun write(file: Path, content: ByteArray) {
+    fun write(file: Path, content: ByteArray, disk: DiskWriter = DiskWriter.Plain) {
         val buffer = ByteBuffer.allocate(HEADER_BYTES + content.size)
         buffer.putInt(MAGIC).putInt(content.size).putInt(checksum(content)).put(content).flip()
         val temporary = file.resolveSibling(file.name + TEMPORARY_SUFFIX)
@@ -28,7 +28,7 @@
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE,
         ).use { channel ->
-            channel.writeFully(buffer)
+            disk.write(channel, buffer)
             channel.force(true)
         }
         Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE)
@@ -57,7 +57,3 @@
 internal fun syncFolder(folder: Path) {
     FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
 }
-
-internal fun FileChannel.writeFully(buffer: ByteBuffer) {
-    while (buffer.hasRemaining()) write(buffer)
-}
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
@@ -30,6 +30,7 @@
     private val lock: FolderLock,
     private var hardState: HardState,
     private val segmentBytes: Long,
+    private val disk: DiskWriter,
 ) : LogStorage {
     private val segments = ArrayDeque<LogSegment>()
     private var active: FileChannel? = null
@@ -55,7 +56,7 @@
 
     override fun saveHardState(state: HardState): Result<Unit, StorageFailure> =
         catching("writing the hard state") {
-            writeHardState(folder, state)
+            writeHardState(folder, state, disk)
             hardState = state
         }
 
@@ -65,7 +66,7 @@
             check(entries.first().index == lastIndex + 1) {
                 "entry ${entries.first().index} does not follow $lastIndex"
             }
-            channelForAppend().writeFully(LogRecord.encode(entries))
+            disk.write(channelForAppend(), LogRecord.encode(entries))
             lastIndex = entries.last().index
         }
 
@@ -87,7 +88,7 @@
 
     override fun saveSnapshot(snapshot: Snapshot): Result<Unit, StorageFailure> =
         catching("writing a snapshot") {
-            ChecksummedFile.write(snapshotFile(snapshot.index), snapshot.encode())
+            ChecksummedFile.write(snapshotFile(snapshot.index), snapshot.encode(), disk)
             snapshotFiles().dropLast(1).forEach { it.deleteExisting() }
         }
 
@@ -223,12 +224,21 @@
             folder: Path,
             newIdentity: Long,
             segmentBytes: Long = DEFAULT_SEGMENT_BYTES,
+        ): Result<FileLogStorage, StorageFailure> =
+            open(folder, newIdentity, segmentBytes, DiskWriter.Plain)
+
+        internal fun open(
+            folder: Path,
+            newIdentity: Long,
+            segmentBytes: Long,
+            disk: DiskWriter,
         ): Result<FileLogStorage, StorageFailure> = catching("opening $folder") {
             require(newIdentity != NO_IDENTITY) { "newIdentity must not be $NO_IDENTITY" }
             createDurably(folder.toAbsolutePath())
             val lock = FolderLock.acquire(folder) ?: fail(StorageFailure.FolderLocked(folder))
             try {
-                FileLogStorage(folder, lock, openHardState(folder, newIdentity), segmentBytes)
+                val hardState = openHardState(folder, newIdentity, disk)
+                FileLogStorage(folder, lock, hardState, segmentBytes, disk)
             } catch (thrown: Exception) {
                 lock.close()
                 throw thrown
@@ -241,13 +251,13 @@
             missing.forEach { syncFolder(it.parent) }
         }
 
-        private fun openHardState(folder: Path, newIdentity: Long): HardState {
+        private fun openHardState(folder: Path, newIdentity: Long, disk: DiskWriter): HardState {
             val file = folder.resolve(HARD_STATE_FILE)
             if (file.exists()) return readHardState(file)
             val isUsed = folder.listDirectoryEntries()
                 .any { LogSegment.of(it) != null || it.name.startsWith(SNAPSHOT_PREFIX) }
             if (isUsed) fail(StorageFailure.MissingHardState(file))
-            return HardState(newIdentity).also { writeHardState(folder, it) }
+            return HardState(newIdentity).also { writeHardState(folder, it, disk) }
         }
 
         private fun readHardState(file: Path): HardState = try {
@@ -257,9 +267,9 @@
             null
         } ?: fail(StorageFailure.DamagedHardState(file))
 
-        private fun writeHardState(folder: Path, state: HardState) {
+        private fun writeHardState(folder: Path, state: HardState, disk: DiskWriter) {
             val content = CONSENSUS_CBOR.encodeToByteArray(state)
-            ChecksummedFile.write(folder.resolve(HARD_STATE_FILE), content)
+            ChecksummedFile.write(folder.resolve(HARD_STATE_FILE), content, disk)
         }
 
         private fun <V> catching(operation: String, block: () -> V): Result<V, StorageFailure> =
