--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -9,10 +9,10 @@
 
 /**
  * A replicated log based on Raft, with [Quorums] that keep acknowledged entries when
- * [ReplicatedLogSettings.toleratedLosses] disks are lost. Votes and acknowledgements count only for the identity that the
- * membership lists, and [flush] releases them only after they are durable. A replica grants no vote
- * while it has contact with a leader, nor for an election timeout after its start, since it does
- * not store when it last had such contact; [majorityContact] relies on both.
+ * [ReplicatedLogSettings.toleratedLosses] disks are lost. Votes and acknowledgements count only for
+ * the identity that the membership lists, and [flush] releases them only after they are durable. A
+ * replica grants no vote while it has contact with a leader, nor for an election timeout after its
+ * start, since it does not store when it last had such contact; [majorityContact] relies on both.
  *
  * [flush] throws [StorageFailureException] if the storage fails; every later call throws it too.
  */
