--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ClusterFormation.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ClusterFormation.kt
@@ -11,10 +11,9 @@
  *
  * All of them must reply, because a majority is not enough: if A and B have committed entries that
  * C has not received yet, B loses its disk and A is down, then B and C both look new and could
- * create a second cluster without those entries. A process without a disk replies as an observer
- * and is left out. A member of the first cluster that still has its
+ * create a second cluster without those entries. A member of the first cluster that still has its
  * disk prevents this: it replies that it belongs to a cluster, or does not reply while it is
- * unreachable. A replica belongs to the first cluster that it learns of for as long as its disk
+ * unreachable. A process without a disk replies as an observer and is left out. A replica belongs to the first cluster that it learns of for as long as its disk
  * exists. A reply counts only if it carries the identity of the asker, so replies to a process that
  * has since lost its disk are ignored.
  */
@@ -97,7 +96,7 @@
         if (message.asker != state.identity) return
         contacts.addAll(message.members)
         // A name is used by one process at a time, so the listed identity came before this one.
-        if (message.listed !in setOf(NO_IDENTITY, state.identity)) {
+        if (!state.isObserver && message.listed !in setOf(NO_IDENTITY, state.identity)) {
             earlierIdentities.add(message.listed)
         }
         if (message.cluster == NO_IDENTITY) {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/ReplicatedLogMessageTest.kt
@@ -60,6 +60,39 @@
         receive(1, vote(identity = 2))
     }
 
+    /** Guards against messages of a leader that has lost its disk and is known to have. */
+    @Nested
+    inner class LostLeaders {
+        private val entry = LogEntry(9, 3, EntryContent.NoOperation)
+        private val append =
+            AppendRequest(CLUSTER, 1, 9, 1, 2, 2, 0, listOf(entry), leader = 2)
+
+        private fun openTolerant(): ReplicatedLog {
+            val settings = ReplicatedLogSettings(names[0], names, toleratedLosses = 2)
+            val machine = KeyValueMachine(HistoryChecker())
+            return ReplicatedLog.open(settings, storage, machine, Random(1), time.markNow())
+                .getOrThrow { StorageFailureException(it) }
+        }
+
+        @Test
+        fun `are followed until they are known to be lost`() {
+            assertEquals(1, openTolerant().receive(1, append).size)
+        }
+
+        @Test
+        fun `are ignored afterwards, also after a restart`() {
+            val announcement = Announcement(22, CLUSTER, lost = listOf(2))
+            val log = openTolerant().apply { receive(1, announcement) }
+            listOf(log, openTolerant()).forEach {
+                assertEquals(setOf(2L), it.lostIdentities)
+                assertEquals(emptyList(), it.receive(1, append))
+                val request = VoteRequest(CLUSTER, 1, 9, candidate = 2, 9, 9, isPreVote = false)
+                assertEquals(emptyList(), it.receive(1, request))
+                assertEquals(2, it.term)
+            }
+        }
+    }
+
     @Nested
     inner class Votes {
         @Test
