--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ToleranceWatch.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ToleranceWatch.kt
@@ -6,8 +6,8 @@
 import org.slf4j.LoggerFactory
 
 /**
- * Reports a cluster that has had too few voters for the stated losses for [REPORT_DELAY]: from then
- * on, changes need more voters than a majority, and wait while one of them is away.
+ * Reports a cluster that has had too few voters for the stated losses for [REPORT_DELAY]. Its changes
+ * need more voters than a majority, and wait while one of these is away.
  */
 internal class ToleranceWatch(
     private val toleratedLosses: Int,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -137,8 +137,8 @@
      */
     override suspend fun drain(timeout: Duration): Int {
         val startedAt = TimeSource.Monotonic.markNow()
-        val limit = minOf(timeout, section.graceSeconds.seconds - END_MARGIN)
-            .coerceAtLeast(section.graceSeconds.seconds / 2)
+        val grace = section.graceSeconds.seconds
+        val limit = minOf(timeout, maxOf(grace - END_MARGIN, grace / 2))
         val acceptingTime = minOf(NOT_READY_TIME, limit / 2)
         isReady = false
         withContext(loop.asCoroutineDispatcher()) {
