--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ClusterFormation.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ClusterFormation.kt
@@ -13,9 +13,10 @@
  * C has not received yet, B loses its disk and A is down, then B and C both look new and could
  * create a second cluster without those entries. A member of the first cluster that still has its
  * disk prevents this: it replies that it belongs to a cluster, or does not reply while it is
- * unreachable. A process without a disk replies as an observer and is left out. A replica belongs to the first cluster that it learns of for as long as its disk
- * exists. A reply counts only if it carries the identity of the asker, so replies to a process that
- * has since lost its disk are ignored.
+ * unreachable. A process without a disk replies as an observer and is left out. A replica belongs
+ * to the first cluster that it learns of for as long as its disk exists. A reply counts only if it
+ * carries the identity of the asker, so replies to a process that has since lost its disk are
+ * ignored.
  */
 internal class ClusterFormation(private val state: ReplicaState) {
     private val candidates = mutableMapOf<ProcessName, Long>()
