Log and count answers that are not shown to belong to their request

A skipped answer left no trace, and an answer without an identifier looked like any other, so the logs could not tell the hypotheses apart. event=unmatched-answer and the meter forwarder.unmatched.answers name the reason (no-request, other-request, no-identifier), both identifiers, the status, what marks the end of the answer, and how many requests the connection carried before. Which answers are forwarded is unchanged.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -39,11 +39,11 @@
 ) {
     val random = Random.Default
     val selector = TargetSelector(settings.loadMultiple, time, random)
-    val pool = TargetPool(loop, wire)
+    val log = RequestLog(registry, time)
+    val pool = TargetPool(loop, wire, log)
     val crashes = CrashObserver(time)
     val refusals = RefusedRequests(time, random)
     val crashDetector = CrashDetector(loop, pool, selector, crashes) { onCrash() }
-    val log = RequestLog(registry, time)
     val origins = StreamOrigins(time)
     val lookup = StreamLookup(loop, time, controllers::sendToAll)
     val retryLimiter = RetryLimiter(
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -9,6 +9,7 @@
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PromptPart
 import org.hibiscusproxy.forwarding.StatedRate
+import org.hibiscusproxy.model.TargetName
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -81,6 +82,24 @@
             )
         }
 
+    /** Records an [answer] of [target] that is not shown to belong to the pending request. */
+    fun unmatchedAnswer(target: TargetName, answer: UnmatchedAnswer) {
+        registry.counter("forwarder.unmatched.answers", "reason", answer.reason.text).increment()
+        write {
+            LOG.info(
+                "forwarder: event=unmatched-answer target={} reason={} id={} pending={} status={} " +
+                    "framing={} earlier={}",
+                target,
+                answer.reason.text,
+                answer.identifier,
+                answer.pendingIdentifier,
+                answer.status,
+                answer.framing.text,
+                answer.earlierRequests,
+            )
+        }
+    }
+
     /** Logs that [target] states another [rate] than before. */
     fun statedRateChanged(target: String, rate: StatedRate) = write {
         LOG.info("forwarder: event=stated-rate target={} rate={}", target, rate)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -41,6 +41,7 @@
 internal class TargetConnection(
     private val wire: WireFormat,
     private val onIdle: (TargetConnection) -> Unit,
+    private val onUnmatchedAnswer: (UnmatchedAnswer) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     lateinit var channel: Channel
         private set
@@ -49,6 +50,7 @@
 
     /** Identifiers of requests that were refused on this connection, the latest last. */
     private val refusedIdentifiers = LinkedHashSet<String>()
+    private var requests = 0
     private var isRequestWritten = false
     private var isSkippingResponse = false
     private var skippedBytes = 0L
@@ -78,6 +80,7 @@
     ): ChannelFuture {
         listener = responseListener
         requestIdentifier = identifier
+        requests += 1
         idleSince = null
         isRequestWritten = false
         isReadingResponse = false
@@ -126,19 +129,27 @@
     }
 
     private fun readHead(response: HttpResponse) {
-        val currentListener = listener ?: return fail("response without a pending request")
+        val metadata = wire.readResponse(response.status().code(), response.headers())
+        val currentListener = listener
+        if (currentListener == null) {
+            report(UnmatchedAnswerReason.NO_REQUEST, response, metadata)
+            return fail("response without a pending request")
+        }
         if (response.status().code() in INFORMATIONAL_STATUSES) {
             isSkippingResponse = true
             return
         }
-        val metadata = wire.readResponse(response.status().code(), response.headers())
         val isOtherRequest = metadata.requestIdentifier != null &&
             requestIdentifier != null &&
             metadata.requestIdentifier != requestIdentifier
         if (isOtherRequest || isReadingResponse) {
+            report(UnmatchedAnswerReason.OTHER_REQUEST, response, metadata)
             isSkippingResponse = true
             return
         }
+        if (isReused && metadata.requestIdentifier == null) {
+            report(UnmatchedAnswerReason.NO_IDENTIFIER, response, metadata)
+        }
         if (metadata.execution != ExecutionStatus.MAY_HAVE_RUN) {
             if (mayBeEarlierRefusal(metadata)) return fail("refusal may be of an earlier request")
             requestIdentifier?.let(::recordRefused)
@@ -150,6 +161,21 @@
         currentListener.onHead(response, metadata)
     }
 
+    private fun report(
+        reason: UnmatchedAnswerReason,
+        response: HttpResponse,
+        metadata: ResponseMetadata,
+    ) = onUnmatchedAnswer(
+        UnmatchedAnswer(
+            reason,
+            metadata.requestIdentifier,
+            requestIdentifier.takeIf { listener != null },
+            response.status().code(),
+            AnswerFraming.of(response),
+            if (listener == null) requests else requests - 1,
+        ),
+    )
+
     private fun mayBeEarlierRefusal(metadata: ResponseMetadata): Boolean =
         isReused && (metadata.requestIdentifier == null || requestIdentifier in refusedIdentifiers)
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
@@ -14,7 +14,11 @@
 import org.hibiscusproxy.model.TargetName
 
 /** Pool of keep-alive connections to targets. Used on the event loop only. */
-internal class TargetPool(private val loop: EventLoop, private val wire: WireFormat) {
+internal class TargetPool(
+    private val loop: EventLoop,
+    private val wire: WireFormat,
+    private val log: RequestLog,
+) {
     private val idle = HashMap<TargetName, ArrayDeque<TargetConnection>>()
     private val bootstrap = Bootstrap()
         .group(loop)
@@ -39,7 +43,11 @@
 
     /** Opens a connection to [target] and passes the outcome to [onResult]. */
     fun connect(target: DiscoveredTarget, onResult: (ConnectResult) -> Unit) {
-        val connection = TargetConnection(wire) { idleOf(target.name).addLast(it) }
+        val connection = TargetConnection(
+            wire,
+            onIdle = { idleOf(target.name).addLast(it) },
+            onUnmatchedAnswer = { log.unmatchedAnswer(target.name, it) },
+        )
         val future = bootstrap.clone()
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
--- /dev/null
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/UnmatchedAnswer.kt
@@ -0,0 +1,29 @@
+package org.hibiscusproxy.daemon.forwarding
+
+/**
+ * An answer that is not shown to belong to the pending request of its connection.
+ *
+ * @property identifier identifier of the request that the answer names; null if it names none
+ * @property pendingIdentifier identifier of the pending request; null if there is none
+ * @property earlierRequests number of requests that the connection carried before the pending one
+ */
+internal class UnmatchedAnswer(
+    val reason: UnmatchedAnswerReason,
+    val identifier: String?,
+    val pendingIdentifier: String?,
+    val status: Int,
+    val framing: AnswerFraming,
+    val earlierRequests: Int,
+)
+
+/** Why an answer does not match. [text] appears in log lines and metrics. */
+internal enum class UnmatchedAnswerReason(val text: String) {
+    /** No request was pending. */
+    NO_REQUEST("no-request"),
+
+    /** The answer names another request than the pending one. */
+    OTHER_REQUEST("other-request"),
+
+    /** The answer names no request, and the connection carried others before the pending one. */
+    NO_IDENTIFIER("no-identifier"),
+}
