Hand out an answer only if it is shown to belong to its request

What callers saw: a success with the body of an earlier request where their target had answered with a failure, or nothing until their deadline.

Cause: an answer without an identifier was taken as the pending request's, whatever its connection had carried before; the codec paired answers with the methods of requests in order, so that an extra answer took the method of the pending request; bytes that arrived between two requests became the start of the next answer; and one identifier could be used twice on one connection, so that the answers to both could not be told apart.

Change: an answer belongs to the pending request if it names that request and no other, or if the connection carried no other. One that names another request only, with a stated end, is skipped, and the connection is closed after the own answer; any other ends the connection, and the result of the request is unknown. Requests without an identifier, with one that the connection carried before, and those whose answers have no body (HEAD, CONNECT) use a connection of their own. Bytes while no request is pending end a connection, also those behind a complete answer. A connection whose target names no request in its answers is not kept.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -173,7 +173,11 @@
         val next =
             TargetAttempt(this, target, cachedAt, node.selector.begin(target.name, metadata.prompt))
         currentAttempt = next
-        val idleConnection = node.pool.acquireIdle(target.name)
+        val idleConnection = node.pool.acquireIdle(
+            target.name,
+            head.method(),
+            metadata.requestIdentifier,
+        )
         if (idleConnection != null) {
             next.send(idleConnection)
         } else {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -87,14 +87,14 @@
         registry.counter("forwarder.unmatched.answers", "reason", answer.reason.text).increment()
         write {
             LOG.info(
-                "forwarder: event=unmatched-answer target={} reason={} id={} pending={} status={} " +
-                    "framing={} earlier={}",
+                "forwarder: event=unmatched-answer target={} reason={} id={} pending={} " +
+                    "status={} framing={} earlier={}",
                 target,
                 answer.reason.text,
-                answer.identifier,
+                answer.identifiers.joinToString(","),
                 answer.pendingIdentifier,
                 answer.status,
-                answer.framing.text,
+                answer.framing?.text,
                 answer.earlierRequests,
             )
         }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
@@ -16,6 +17,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
+import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.NO_IDENTIFIER
+import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.NO_REQUEST
+import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.OTHER_REQUEST
+import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.SEVERAL_IDENTIFIERS
 
 /** Receives the response of a target to one attempt. Called on the event loop. */
 internal interface ResponseListener {
@@ -33,10 +38,11 @@
 }
 
 /**
- * A connection to a target, which carries one attempt at a time. Responses with the identifier of
- * another request are skipped; a response while no request is pending closes the connection. So does
- * a refusal that a faulty target may have written for an earlier request: it says nothing about
- * whether the present one runs.
+ * A connection to a target, which carries one attempt at a time. An answer belongs to the pending
+ * request if it names that request and no other, or if the connection carried no other request. One
+ * that names another request only is skipped, and the connection is closed after the pending
+ * request's own answer. Any other answer ends the connection, and the result of the pending request
+ * is unknown.
  */
 internal class TargetConnection(
     private val wire: WireFormat,
@@ -47,26 +53,35 @@
         private set
     private var listener: ResponseListener? = null
     private var requestIdentifier: String? = null
-
-    /** Identifiers of requests that were refused on this connection, the latest last. */
-    private val refusedIdentifiers = LinkedHashSet<String>()
-    private var requests = 0
+    private val carried = CarriedRequests()
     private var isRequestWritten = false
     private var isSkippingResponse = false
     private var skippedBytes = 0L
     private var isReadingResponse = false
     private var isFailed = false
     private var isKeepAlive = false
+    private var isIdentified = false
+    private var hasUnmatchedAnswer = false
+    private var isIdleAfterRead = false
     private var idleLimit = DEFAULT_IDLE_LIMIT
     private var idleSince: ComparableTimeMark? = null
 
-    /** Whether an earlier response was completed on this connection. */
-    var isReused = false
+    /** Whether a request waits for its answer or for the end of it. */
+    val isPending: Boolean get() = listener != null
+
+    /** Whether the method of the latest request is HEAD, whose answer has no body. */
+    var isHeadPending = false
         private set
 
     /** Whether the connection is open and idle for less than its limit. */
     val isUsable: Boolean
-        get() = channel.isActive && idleSince.let { it != null && it.elapsedNow() < idleLimit }
+        get() = channel.isActive &&
+            !isFailed &&
+            idleSince.let { it != null && it.elapsedNow() < idleLimit }
+
+    /** Whether the answer to a request could be told from those to all requests so far. */
+    fun accepts(method: HttpMethod, identifier: String?): Boolean =
+        carried.accepts(method, identifier)
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -80,7 +95,8 @@
     ): ChannelFuture {
         listener = responseListener
         requestIdentifier = identifier
-        requests += 1
+        carried.add(request.method(), identifier)
+        isHeadPending = request.method() == HttpMethod.HEAD
         idleSince = null
         isRequestWritten = false
         isReadingResponse = false
@@ -116,7 +132,7 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (message is HttpObject) read(message)
+            if (message is HttpObject && !isFailed) read(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -125,65 +141,88 @@
     private fun read(message: HttpObject) {
         if (message.decoderResult().isFailure) return fail("${message.decoderResult().cause()}")
         if (message is HttpResponse) readHead(message)
-        if (message is HttpContent) readContent(message)
+        if (message is HttpContent && !isFailed) readContent(message)
     }
 
     private fun readHead(response: HttpResponse) {
         val metadata = wire.readResponse(response.status().code(), response.headers())
         val currentListener = listener
-        if (currentListener == null) {
-            report(UnmatchedAnswerReason.NO_REQUEST, response, metadata)
-            return fail("response without a pending request")
-        }
-        if (response.status().code() in INFORMATIONAL_STATUSES) {
-            isSkippingResponse = true
-            return
-        }
-        val isOtherRequest = metadata.requestIdentifier != null &&
-            requestIdentifier != null &&
-            metadata.requestIdentifier != requestIdentifier
-        if (isOtherRequest || isReadingResponse) {
-            report(UnmatchedAnswerReason.OTHER_REQUEST, response, metadata)
+        if (currentListener != null && response.status().code() in INFORMATIONAL_STATUSES) {
             isSkippingResponse = true
             return
         }
-        if (isReused && metadata.requestIdentifier == null) {
-            report(UnmatchedAnswerReason.NO_IDENTIFIER, response, metadata)
-        }
-        if (metadata.execution != ExecutionStatus.MAY_HAVE_RUN) {
-            if (mayBeEarlierRefusal(metadata)) return fail("refusal may be of an earlier request")
-            requestIdentifier?.let(::recordRefused)
+        val unmatched = unmatchedReason(metadata.requestIdentifiers)
+        if (currentListener == null || unmatched != null) {
+            return rejectUnmatched(unmatched ?: NO_REQUEST, response, metadata)
         }
         isReadingResponse = true
         isKeepAlive = HttpUtil.isKeepAlive(response)
+        isIdentified = metadata.requestIdentifiers.isNotEmpty()
         idleLimit =
             metadata.keepAliveTimeout?.let { it * IDLE_LIMIT_FRACTION } ?: DEFAULT_IDLE_LIMIT
         currentListener.onHead(response, metadata)
     }
 
-    private fun report(
+    /** Returns why an answer that names [identifiers] is not the pending request's; null if it is. */
+    private fun unmatchedReason(identifiers: Set<String>): UnmatchedAnswerReason? {
+        val isOnlyAnswer = carried.count == 1 && !hasUnmatchedAnswer
+        val own = requestIdentifier
+        return when {
+            listener == null -> NO_REQUEST
+            identifiers.isEmpty() -> NO_IDENTIFIER.takeUnless { isOnlyAnswer }
+            own == null -> null
+            own !in identifiers -> OTHER_REQUEST
+            identifiers.size > 1 -> SEVERAL_IDENTIFIERS.takeUnless { isOnlyAnswer }
+            else -> null
+        }
+    }
+
+    private fun rejectUnmatched(
         reason: UnmatchedAnswerReason,
         response: HttpResponse,
         metadata: ResponseMetadata,
-    ) = onUnmatchedAnswer(
-        UnmatchedAnswer(
-            reason,
-            metadata.requestIdentifier,
-            requestIdentifier.takeIf { listener != null },
-            response.status().code(),
-            AnswerFraming.of(response),
-            if (listener == null) requests else requests - 1,
-        ),
-    )
-
-    private fun mayBeEarlierRefusal(metadata: ResponseMetadata): Boolean =
-        isReused && (metadata.requestIdentifier == null || requestIdentifier in refusedIdentifiers)
-
-    private fun recordRefused(identifier: String) {
-        refusedIdentifiers += identifier
-        if (refusedIdentifiers.size > MAXIMUM_REFUSED_IDENTIFIERS) {
-            refusedIdentifiers.remove(refusedIdentifiers.first())
-        }
+    ) {
+        val framing = AnswerFraming.of(response)
+        report(reason, metadata.requestIdentifiers, response.status().code(), framing)
+        val isSkippable =
+            reason == OTHER_REQUEST && framing != AnswerFraming.CONNECTION && !isHeadPending
+        if (isSkippable) isSkippingResponse = true else fail("unmatched answer: ${reason.text}")
+    }
+
+    /** Called after bytes arrived while no request was pending. */
+    fun onUnsolicitedBytes() {
+        if (isFailed) return
+        report(NO_REQUEST)
+        fail("bytes without a pending request")
+    }
+
+    /** Called after all bytes that have arrived are decoded, except [hasUndecodedBytes]. */
+    fun onReadComplete(hasUndecodedBytes: Boolean) {
+        if (!isIdleAfterRead) return
+        isIdleAfterRead = false
+        if (hasUndecodedBytes) return onUnsolicitedBytes()
+        if (isFailed || !channel.isActive) return
+        idleSince = TimeSource.Monotonic.markNow()
+        onIdle(this)
+    }
+
+    private fun report(
+        reason: UnmatchedAnswerReason,
+        identifiers: Set<String> = emptySet(),
+        status: Int? = null,
+        framing: AnswerFraming? = null,
+    ) {
+        hasUnmatchedAnswer = true
+        onUnmatchedAnswer(
+            UnmatchedAnswer(
+                reason,
+                identifiers,
+                requestIdentifier.takeIf { isPending },
+                status,
+                framing,
+                if (isPending) carried.count - 1 else carried.count,
+            ),
+        )
     }
 
     private fun readContent(content: HttpContent) {
@@ -203,13 +242,12 @@
         val currentListener = listener ?: return
         listener = null
         isReadingResponse = false
-        isReused = true
-        val isReusable = isKeepAlive && isRequestWritten && channel.isActive
+        val isReusable = isKeepAlive && isRequestWritten && channel.isActive &&
+            isIdentified && !hasUnmatchedAnswer && !carried.isExhausted
         currentListener.onEnd()
         if (isReusable) {
             channel.config().isAutoRead = true
-            idleSince = TimeSource.Monotonic.markNow()
-            onIdle(this)
+            isIdleAfterRead = true
         } else {
             channel.close()
         }
@@ -230,8 +268,6 @@
     }
 
     private companion object {
-        const val MAXIMUM_REFUSED_IDENTIFIERS = 16
-
         /** Bytes of skipped responses after which a connection is closed. */
         const val MAXIMUM_SKIPPED_BYTES = 1_048_576L
         val INFORMATIONAL_STATUSES = 100..199
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
@@ -7,8 +7,9 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.TargetName
@@ -30,15 +31,21 @@
     var openCount = 0
         private set
 
-    /** Removes and returns the most recently used idle connection to [target], or null. */
-    fun acquireIdle(target: TargetName): TargetConnection? {
+    /**
+     * Removes and returns the most recently used idle connection to [target] on which the answer to
+     * a request with [method] and [identifier] can be told from those to earlier ones, or null.
+     */
+    fun acquireIdle(
+        target: TargetName,
+        method: HttpMethod,
+        identifier: String?,
+    ): TargetConnection? {
         val connections = idle[target] ?: return null
-        while (connections.isNotEmpty()) {
-            val connection = connections.removeLast()
-            if (connection.isUsable) return connection
-            connection.cancel()
+        connections.removeAll { connection ->
+            (!connection.isUsable).also { if (it) connection.cancel() }
         }
-        return null
+        val index = connections.indexOfLast { it.accepts(method, identifier) }
+        return if (index < 0) null else connections.removeAt(index)
     }
 
     /** Opens a connection to [target] and passes the outcome to [onResult]. */
@@ -51,7 +58,11 @@
         val future = bootstrap.clone()
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(codec(), connection)
+                    channel.pipeline().addLast(
+                        TargetResponseDecoder(decoderConfig(), connection),
+                        HttpRequestEncoder(),
+                        connection,
+                    )
                 }
             })
             .connect(target.address.socketAddress())
@@ -87,11 +98,7 @@
 
     private fun idleOf(target: TargetName) = idle.getOrPut(target) { ArrayDeque() }
 
-    private fun codec() = HttpClientCodec(
-        HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES),
-        false,
-        false,
-    )
+    private fun decoderConfig() = HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
 
     private fun NetworkAddress.socketAddress() = java.net.InetSocketAddress(host, port)
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/UnmatchedAnswer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/UnmatchedAnswer.kt
@@ -3,16 +3,18 @@
 /**
  * An answer that is not shown to belong to the pending request of its connection.
  *
- * @property identifier identifier of the request that the answer names; null if it names none
+ * @property identifiers identifiers of the requests that the answer names
  * @property pendingIdentifier identifier of the pending request; null if there is none
+ * @property status null if no head was decoded
+ * @property framing null if no head was decoded
  * @property earlierRequests number of requests that the connection carried before the pending one
  */
 internal class UnmatchedAnswer(
     val reason: UnmatchedAnswerReason,
-    val identifier: String?,
+    val identifiers: Set<String>,
     val pendingIdentifier: String?,
-    val status: Int,
-    val framing: AnswerFraming,
+    val status: Int?,
+    val framing: AnswerFraming?,
     val earlierRequests: Int,
 )
 
@@ -24,6 +26,9 @@
     /** The answer names another request than the pending one. */
     OTHER_REQUEST("other-request"),
 
+    /** The answer names the pending request and others. */
+    SEVERAL_IDENTIFIERS("several-identifiers"),
+
     /** The answer names no request, and the connection carried others before the pending one. */
     NO_IDENTIFIER("no-identifier"),
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
@@ -34,7 +34,7 @@
 /**
  * Metadata from the headers of a caller's request.
  *
- * @property requestIdentifier unique for each attempt of the caller
+ * @property requestIdentifier unique for each attempt of the caller; null if there is none or several
  * @property callerTimeout how long the caller waits for the response
  * @property lastEventIdentifier identifier of the last stream event that the caller received
  * @property resumedIdentifier identifier of the attempt that brought the stream's first event
@@ -81,6 +81,7 @@
 /**
  * Metadata from the status and headers of a target's response.
  *
+ * @property requestIdentifiers identifiers of the requests that the response names
  * @property isSigned whether the response carries the target's signature
  * @property isCompressed whether the body is compressed, which no caller requests
  * @property keepAliveTimeout how long the target keeps an idle connection open; null if not stated
@@ -90,7 +91,7 @@
  * @property statedPause time for which the target wants no request from this forwarder
  */
 data class ResponseMetadata(
-    val requestIdentifier: String?,
+    val requestIdentifiers: Set<String>,
     val execution: ExecutionStatus,
     val isSigned: Boolean,
     val isCompressed: Boolean,
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWaitTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWaitTest.kt
@@ -52,7 +52,7 @@
         override fun writeTargetHeaders(headers: HttpHeaders, values: TargetRequestHeaders) = Unit
 
         override fun readResponse(status: Int, headers: HttpHeaders) = ResponseMetadata(
-            requestIdentifier = headers["X-Request-Id"],
+            requestIdentifiers = headers.getAll("X-Request-Id").toSet(),
             execution = ExecutionStatus.MAY_HAVE_RUN,
             isSigned = true,
             isCompressed = false,
