Reject answers that are made of two, and bound the time to skip one

Cause: the rule "names that request" was checked on a decoded head, and nothing showed that the head was made of the bytes of one answer. Complete header lines behind an answer were consumed by the decoder, so that no bytes were left over although it stood within a head. A skipped answer was trusted to be as long as it states.

Change: a head that holds a second status line ends the connection; a whole answer that follows the start of another always brings its own status line into that head. While no request is pending nothing is decoded, and any byte ends the connection. A skipped answer has 250 ms to be complete, as the target wrote it before. Connections that are ended for these reasons no longer count as evidence that the target crashed, and a connection that ended before it carried a request is a failed connect, not an unknown result.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
+import java.io.IOException
 import kotlin.time.ComparableTimeMark
 import org.hibiscusproxy.daemon.EventBoundary
 import org.hibiscusproxy.forwarding.AttemptResult
@@ -63,6 +64,8 @@
     private fun onConnected(newConnection: TargetConnection) {
         if (isFinished) {
             newConnection.cancel()
+        } else if (!newConnection.isOpen) {
+            onConnectFailed(IOException("the connection was closed before it carried a request"))
         } else if (exchange.refusalTime() != null) {
             newConnection.cancel()
             finish(AttemptResult.INCONCLUSIVE)
@@ -253,6 +256,9 @@
         fail(cause)
     }
 
+    /** The target has not closed the connection, so nothing tells that it crashed. */
+    override fun onRejected(cause: String) = fail(cause)
+
     private fun fail(cause: String) {
         if (isFinished) return
         finish(AttemptResult.CONNECTION_BROKEN)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.Future
+import java.util.concurrent.TimeUnit
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,6 +22,7 @@
 import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.NO_IDENTIFIER
 import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.NO_REQUEST
 import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.OTHER_REQUEST
+import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.SEVERAL_HEADS
 import org.hibiscusproxy.daemon.forwarding.UnmatchedAnswerReason.SEVERAL_IDENTIFIERS
 
 /** Receives the response of a target to one attempt. Called on the event loop. */
@@ -35,14 +38,17 @@
 
     /** Called when the connection is lost or the response is malformed before its end. */
     fun onFailure(cause: String)
+
+    /** Called when the connection was closed because its responses cannot be told apart. */
+    fun onRejected(cause: String)
 }
 
 /**
  * A connection to a target, which carries one attempt at a time. An answer belongs to the pending
- * request if it names that request and no other, or if the connection carried no other request. One
- * that names another request only is skipped, and the connection is closed after the pending
- * request's own answer. Any other answer ends the connection, and the result of the pending request
- * is unknown.
+ * request if it names that request and no other, or if the connection carried no other request, and
+ * if its head is not made of two. One that names another request only is skipped, and the connection
+ * is closed after the pending request's own answer. Any other answer ends the connection, and the
+ * result of the pending request is unknown.
  */
 internal class TargetConnection(
     private val wire: WireFormat,
@@ -58,7 +64,8 @@
     private var isSkippingResponse = false
     private var skippedBytes = 0L
     private var isReadingResponse = false
-    private var isFailed = false
+    private var skipLimit: Future<*>? = null
+    private var isEnded = false
     private var isKeepAlive = false
     private var isIdentified = false
     private var hasUnmatchedAnswer = false
@@ -73,11 +80,12 @@
     var isHeadPending = false
         private set
 
+    /** Whether a request can be sent on the connection. */
+    val isOpen: Boolean get() = channel.isActive && !isEnded
+
     /** Whether the connection is open and idle for less than its limit. */
     val isUsable: Boolean
-        get() = channel.isActive &&
-            !isFailed &&
-            idleSince.let { it != null && it.elapsedNow() < idleLimit }
+        get() = isOpen && idleSince.let { it != null && it.elapsedNow() < idleLimit }
 
     /** Whether the answer to a request could be told from those to all requests so far. */
     fun accepts(method: HttpMethod, identifier: String?): Boolean =
@@ -126,13 +134,22 @@
 
     /** Closes the connection, which cancels the request at the target. */
     fun cancel() {
+        end()
+    }
+
+    /** Closes the connection and returns the listener of the pending request, if there is one. */
+    private fun end(): ResponseListener? {
+        isEnded = true
+        skipLimit?.cancel(false)
+        val currentListener = listener
         listener = null
         channel.close()
+        return currentListener
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (message is HttpObject && !isFailed) read(message)
+            if (message is HttpObject && !isEnded) read(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -141,20 +158,18 @@
     private fun read(message: HttpObject) {
         if (message.decoderResult().isFailure) return fail("${message.decoderResult().cause()}")
         if (message is HttpResponse) readHead(message)
-        if (message is HttpContent && !isFailed) readContent(message)
+        if (message is HttpContent && !isEnded) readContent(message)
     }
 
     private fun readHead(response: HttpResponse) {
+        val currentListener = listener ?: return
         val metadata = wire.readResponse(response.status().code(), response.headers())
-        val currentListener = listener
-        if (currentListener != null && response.status().code() in INFORMATIONAL_STATUSES) {
-            isSkippingResponse = true
-            return
-        }
-        val unmatched = unmatchedReason(metadata.requestIdentifiers)
-        if (currentListener == null || unmatched != null) {
-            return rejectUnmatched(unmatched ?: NO_REQUEST, response, metadata)
+        val unmatched = when {
+            response.holdsAnotherStatusLine() -> SEVERAL_HEADS
+            response.status().code() in INFORMATIONAL_STATUSES -> return skip()
+            else -> unmatchedReason(metadata.requestIdentifiers)
         }
+        if (unmatched != null) return rejectUnmatched(unmatched, response, metadata)
         isReadingResponse = true
         isKeepAlive = HttpUtil.isKeepAlive(response)
         isIdentified = metadata.requestIdentifiers.isNotEmpty()
@@ -168,7 +183,6 @@
         val isOnlyAnswer = carried.count == 1 && !hasUnmatchedAnswer
         val own = requestIdentifier
         return when {
-            listener == null -> NO_REQUEST
             identifiers.isEmpty() -> NO_IDENTIFIER.takeUnless { isOnlyAnswer }
             own == null -> null
             own !in identifiers -> OTHER_REQUEST
@@ -186,22 +200,32 @@
         report(reason, metadata.requestIdentifiers, response.status().code(), framing)
         val isSkippable =
             reason == OTHER_REQUEST && framing != AnswerFraming.CONNECTION && !isHeadPending
-        if (isSkippable) isSkippingResponse = true else fail("unmatched answer: ${reason.text}")
+        if (isSkippable) skip() else reject("unmatched answer: ${reason.text}")
+    }
+
+    /** Skips the answer that begins. One that is cut would take in what follows it. */
+    private fun skip() {
+        isSkippingResponse = true
+        skipLimit?.cancel(false)
+        skipLimit = channel.eventLoop().schedule(
+            { reject("answer to another request is not complete after $SKIP_LIMIT") },
+            SKIP_LIMIT.inWholeMilliseconds,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
     /** Called after bytes arrived while no request was pending. */
     fun onUnsolicitedBytes() {
-        if (isFailed) return
+        if (isEnded) return
         report(NO_REQUEST)
-        fail("bytes without a pending request")
+        end()
     }
 
-    /** Called after all bytes that have arrived are decoded, except [hasUndecodedBytes]. */
-    fun onReadComplete(hasUndecodedBytes: Boolean) {
+    /** Called after all bytes that have arrived are decoded. */
+    fun onReadComplete() {
         if (!isIdleAfterRead) return
         isIdleAfterRead = false
-        if (hasUndecodedBytes) return onUnsolicitedBytes()
-        if (isFailed || !channel.isActive) return
+        if (!isOpen) return
         idleSince = TimeSource.Monotonic.markNow()
         onIdle(this)
     }
@@ -229,13 +253,16 @@
         val isLast = content is LastHttpContent
         if (isSkippingResponse) {
             skippedBytes += content.content().readableBytes()
-            if (isLast) isSkippingResponse = false
-            if (skippedBytes > MAXIMUM_SKIPPED_BYTES) fail("responses to no request are too long")
+            if (isLast) {
+                isSkippingResponse = false
+                skipLimit?.cancel(false)
+            }
+            if (skippedBytes > MAXIMUM_SKIPPED_BYTES) reject("responses to no request are too long")
             return
         }
         if (!isReadingResponse) return
         if (content.content().isReadable) listener?.onContent(content)
-        if (isLast && !isFailed) completeResponse()
+        if (isLast && !isEnded) completeResponse()
     }
 
     private fun completeResponse() {
@@ -260,11 +287,11 @@
         fail(cause.toString())
 
     private fun fail(cause: String) {
-        isFailed = true
-        val currentListener = listener
-        listener = null
-        channel.close()
-        currentListener?.onFailure(cause)
+        end()?.onFailure(cause)
+    }
+
+    private fun reject(cause: String) {
+        end()?.onRejected(cause)
     }
 
     private companion object {
@@ -272,6 +299,9 @@
         const val MAXIMUM_SKIPPED_BYTES = 1_048_576L
         val INFORMATIONAL_STATUSES = 100..199
 
+        /** Time for a skipped answer, which the target wrote before, to be complete. */
+        val SKIP_LIMIT: Duration = 250.milliseconds
+
         /** Targets that close idle connections within a second do not state their timeout. */
         val DEFAULT_IDLE_LIMIT: Duration = 300.milliseconds
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetResponseDecoder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetResponseDecoder.kt
@@ -1,26 +1,27 @@
 package org.hibiscusproxy.daemon.forwarding
 
+import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 /**
- * Decodes the responses on [connection]. Reports bytes that arrive, or are left over, while no
- * request is pending: they would otherwise become the start of the response to the next request.
+ * Decodes the responses on [connection]. Bytes while no request is pending are not decoded, as they
+ * would become the start of the response to the next request.
  */
 internal class TargetResponseDecoder(
     config: HttpDecoderConfig,
     private val connection: TargetConnection,
 ) : HttpResponseDecoder(config) {
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        val isUnsolicited = !connection.isPending
-        super.channelRead(context, message)
-        if (isUnsolicited) connection.onUnsolicitedBytes()
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (connection.isPending) return super.decode(context, buffer, out)
+        buffer.skipBytes(buffer.readableBytes())
+        connection.onUnsolicitedBytes()
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        connection.onReadComplete(hasUndecodedBytes = actualReadableBytes() > 0)
+        connection.onReadComplete()
         super.channelReadComplete(context)
     }
 
