Use a connection of the sidecar to its target for one call only

What callers saw: an answer to an earlier request. Seen in tests only, not in a record of a fleet.

Cause: the sidecar kept connections for repeatable calls, reports of load and cancellations. OkHttp takes whatever arrives on a kept connection as the answer to the next call; it compares no identifier, and targets need not state one. A late second answer, or the rest of one, became the answer to the next call, and each later call on the connection got the answer before its own.

Change: no connection carries two calls, so an answer can only belong to the call of its connection. The client for calls that must not be repeated already worked like this and is now the only one. A connection is closed after its call, also if bytes follow the answer.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetClient.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetClient.kt
@@ -8,7 +8,6 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlinx.coroutines.runBlocking
-import okhttp3.ConnectionPool
 import okhttp3.Headers
 import okhttp3.HttpUrl.Companion.toHttpUrl
 import okhttp3.Interceptor
@@ -19,6 +18,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.hibiscusproxy.daemon.EventBoundary
+import org.hibiscusproxy.daemon.withoutConnectionReuse
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.Header
 import org.hibiscusproxy.protocol.NotRunReason
@@ -45,7 +45,8 @@
  * HTTP client of one target. Each call uses one thread with a small stack while it reads the
  * answer. Chunks are sent to the entry as they arrive; a full connection blocks the thread, which
  * applies backpressure to the target. Redirects and OkHttp's automatic retries are off, because a
- * resend could run a request twice.
+ * resend could run a request twice. No connection carries two calls, because targets may repeat an
+ * answer late and need not name the request that an answer belongs to.
  *
  * @param confirm final check before the first byte, which returns the reason not to run
  * @param firstByte called when the first byte of the answer's body arrives
@@ -78,20 +79,10 @@
         .connectTimeout(CONNECT_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .writeTimeout(0, TimeUnit.MILLISECONDS)
-        .connectionPool(
-            ConnectionPool(MAXIMUM_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS),
-        )
+        .withoutConnectionReuse()
         .addNetworkInterceptor(::confirmAndProceed)
         .build()
 
-    /**
-     * Used for non-repeatable calls: if the target closed an idle connection just as it is reused,
-     * the outcome would be unknown although nothing ran.
-     */
-    private val clientWithoutConnectionReuse = client.newBuilder()
-        .connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS))
-        .build()
-
     /** Runs the call for [attempt] on a pool thread and reports the result to [onOutcome]. */
     fun start(attempt: SidecarAttempt, onOutcome: (CallOutcome) -> Unit) {
         try {
@@ -125,7 +116,6 @@
 
     override fun close() {
         threads.shutdownNow()
-        client.connectionPool.evictAll()
     }
 
     private fun call(attempt: SidecarAttempt): CallOutcome {
@@ -136,8 +126,7 @@
         }
         val remaining = attempt.remaining.inWholeMilliseconds
         if (remaining <= 0) return CallOutcome.NotRun(NotRunReason.DEADLINE)
-        val http = if (attempt.dispatch.repeatable) client else clientWithoutConnectionReuse
-        val call = http.newCall(request)
+        val call = client.newCall(request)
         // Rounded up, as a timeout before the deadline would be taken for the loss of the target.
         call.timeout().timeout(remaining + 1, TimeUnit.MILLISECONDS)
         if (!attempt.attach(call)) return CallOutcome.NotRun(NotRunReason.CANCELLED)
@@ -273,10 +262,6 @@
         const val IDLE_THREAD_SECONDS = 10L
         const val STACK_BYTES = 262_144L
         const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
-        const val MAXIMUM_IDLE_CONNECTIONS = 64
-
-        /** Shorter than the keep-alive of common servers, which avoids stale idle connections. */
-        const val KEEP_ALIVE_SECONDS = 4L
         val HOP_BY_HOP =
             setOf("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade")
     }
