Use a connection of the controller to the platform for one call only

What operators would see: a controller that acts on the instance list of an earlier poll, as if it were the newest, for as long as the connection is kept. Seen in a test only.

OkHttp takes a late second answer on a kept connection as the answer to the next call.

Change: each poll uses a connection of its own. The number of calls is the same.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/PlatformReader.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/PlatformReader.kt
@@ -14,6 +14,7 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import org.hibiscusproxy.daemon.repeatGuarded
+import org.hibiscusproxy.daemon.withoutConnectionReuse
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -44,7 +45,10 @@
     private val isLeader: () -> Boolean,
     private val onList: suspend (InstanceList) -> Unit,
 ) : AutoCloseable {
-    private val http = OkHttpClient.Builder().callTimeout(TIMEOUT.toJavaDuration()).build()
+    private val http = OkHttpClient.Builder()
+        .callTimeout(TIMEOUT.toJavaDuration())
+        .withoutConnectionReuse()
+        .build()
     private val request = Request.Builder().url("${url.trimEnd('/')}/instances").build()
 
     fun start(scope: CoroutineScope) {
@@ -81,7 +85,6 @@
 
     override fun close() {
         http.dispatcher.executorService.shutdown()
-        http.connectionPool.evictAll()
     }
 
     private companion object {
