Use a connection of the operator's client for one call only

What operators would see: the answer to their call before, for example an old status as the result of a change. Seen in tests with a repeating server only, not with a controller.

Cause: as in the sidecar's client. OkHttp takes a late second answer on a kept connection as the answer to the next call.

Change: each attempt of a call uses a connection of its own.

Evidence: OperatorClientTest failed in 2 of 2 tests before: the second call got the body of the first. It passes, as do OperatorCommandTest, OrderCommandTest and OperatorInterfaceTest.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/OperatorClient.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/OperatorClient.kt
@@ -18,6 +18,7 @@
 import org.hibiscusproxy.daemon.controller.OperatorJson
 import org.hibiscusproxy.daemon.controller.SignedCall
 import org.hibiscusproxy.daemon.transport.FleetKey
+import org.hibiscusproxy.daemon.withoutConnectionReuse
 import org.hibiscusproxy.model.NetworkAddress
 
 /**
@@ -37,6 +38,7 @@
         .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
         .retryOnConnectionFailure(false)
         .followRedirects(false)
+        .withoutConnectionReuse()
         .build()
 
     init {
@@ -128,7 +130,6 @@
 
     override fun close() {
         http.dispatcher.executorService.shutdown()
-        http.connectionPool.evictAll()
     }
 
     /** Selects the controller for the next attempt and records the failures so far. */
