Find the own answer within a second answer that was cut in its body

What callers saw: nothing until their deadline.

Change: skipped bodies and trailers are searched for a status line, which the own answer always brings; it ends the connection at once. The 250 ms for skipping are gone: the search finds the own answer whenever it comes, and a whole copy that arrives slowly no longer costs the own answer. The search in heads is limited to answers that are not the only one of their connection, and requests whose identifier reads like a status line use one of their own, as their echoed identifier would count against a sound target. A switch of the protocol, which is never requested, ends the connection; its bytes were ignored until the deadline. A malformed answer is no evidence of a crash: the connection was closed by the forwarder.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CarriedRequests.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CarriedRequests.kt
@@ -41,6 +41,9 @@
 
         /** Whether a request can't share its connection with others. */
         fun needsOwnConnection(method: HttpMethod, identifier: String?): Boolean =
-            identifier.isNullOrEmpty() || method in METHODS_WITHOUT_BODY
+            identifier.isNullOrEmpty() ||
+                method in METHODS_WITHOUT_BODY ||
+                // Its answer, which repeats it, would look like two that run into each other.
+                StatusLineSearch.holdsStatusLine(identifier)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -10,11 +10,10 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import io.netty.util.concurrent.Future
-import java.util.concurrent.TimeUnit
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -46,7 +45,7 @@
 /**
  * A connection to a target, which carries one attempt at a time. An answer belongs to the pending
  * request if it names that request and no other, or if the connection carried no other request, and
- * if its head is not made of two. One that names another request only is skipped, and the connection
+ * if its head is not made of two answers. One that names another request only is skipped, and the connection
  * is closed after the pending request's own answer. Any other answer ends the connection, and the
  * result of the pending request is unknown.
  */
@@ -64,7 +63,7 @@
     private var isSkippingResponse = false
     private var skippedBytes = 0L
     private var isReadingResponse = false
-    private var skipLimit: Future<*>? = null
+    private var skippedStatusLines = StatusLineSearch()
     private var isEnded = false
     private var isKeepAlive = false
     private var isIdentified = false
@@ -140,7 +139,6 @@
     /** Closes the connection and returns the listener of the pending request, if there is one. */
     private fun end(): ResponseListener? {
         isEnded = true
-        skipLimit?.cancel(false)
         val currentListener = listener
         listener = null
         channel.close()
@@ -156,7 +154,7 @@
     }
 
     private fun read(message: HttpObject) {
-        if (message.decoderResult().isFailure) return fail("${message.decoderResult().cause()}")
+        if (message.decoderResult().isFailure) return reject("${message.decoderResult().cause()}")
         if (message is HttpResponse) readHead(message)
         if (message is HttpContent && !isEnded) readContent(message)
     }
@@ -164,10 +162,13 @@
     private fun readHead(response: HttpResponse) {
         val currentListener = listener ?: return
         val metadata = wire.readResponse(response.status().code(), response.headers())
+        val isOnlyAnswer = carried.count == 1 && !hasUnmatchedAnswer
         val unmatched = when {
-            response.holdsAnotherStatusLine() -> SEVERAL_HEADS
+            !isOnlyAnswer && StatusLineSearch.holdsAnother(response) -> SEVERAL_HEADS
+            response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
+                return reject("target switches to another protocol")
             response.status().code() in INFORMATIONAL_STATUSES -> return skip()
-            else -> unmatchedReason(metadata.requestIdentifiers)
+            else -> unmatchedReason(metadata.requestIdentifiers, isOnlyAnswer)
         }
         if (unmatched != null) return rejectUnmatched(unmatched, response, metadata)
         isReadingResponse = true
@@ -179,8 +180,10 @@
     }
 
     /** Returns why an answer that names [identifiers] is not the pending request's; null if it is. */
-    private fun unmatchedReason(identifiers: Set<String>): UnmatchedAnswerReason? {
-        val isOnlyAnswer = carried.count == 1 && !hasUnmatchedAnswer
+    private fun unmatchedReason(
+        identifiers: Set<String>,
+        isOnlyAnswer: Boolean,
+    ): UnmatchedAnswerReason? {
         val own = requestIdentifier
         return when {
             identifiers.isEmpty() -> NO_IDENTIFIER.takeUnless { isOnlyAnswer }
@@ -203,15 +206,9 @@
         if (isSkippable) skip() else reject("unmatched answer: ${reason.text}")
     }
 
-    /** Skips the answer that begins. One that is cut would take in what follows it. */
     private fun skip() {
         isSkippingResponse = true
-        skipLimit?.cancel(false)
-        skipLimit = channel.eventLoop().schedule(
-            { reject("answer to another request is not complete after $SKIP_LIMIT") },
-            SKIP_LIMIT.inWholeMilliseconds,
-            TimeUnit.MILLISECONDS,
-        )
+        skippedStatusLines = StatusLineSearch()
     }
 
     /** Called after bytes arrived while no request was pending. */
@@ -251,20 +248,26 @@
 
     private fun readContent(content: HttpContent) {
         val isLast = content is LastHttpContent
-        if (isSkippingResponse) {
-            skippedBytes += content.content().readableBytes()
-            if (isLast) {
-                isSkippingResponse = false
-                skipLimit?.cancel(false)
-            }
-            if (skippedBytes > MAXIMUM_SKIPPED_BYTES) reject("responses to no request are too long")
-            return
-        }
+        if (isSkippingResponse) return skip(content)
         if (!isReadingResponse) return
         if (content.content().isReadable) listener?.onContent(content)
         if (isLast && !isEnded) completeResponse()
     }
 
+    /** Skips a part of an answer, which takes in the pending request's if it was cut. */
+    private fun skip(content: HttpContent) {
+        skippedBytes += content.content().readableBytes()
+        val holdsStatusLine = skippedStatusLines.endsWithin(content.content()) ||
+            content is LastHttpContent &&
+            StatusLineSearch.holdsStatusLine(content.trailingHeaders())
+        if (holdsStatusLine) {
+            report(SEVERAL_HEADS)
+            return reject("unmatched answer: ${SEVERAL_HEADS.text}")
+        }
+        if (content is LastHttpContent) isSkippingResponse = false
+        if (skippedBytes > MAXIMUM_SKIPPED_BYTES) reject("responses to no request are too long")
+    }
+
     private fun completeResponse() {
         val currentListener = listener ?: return
         listener = null
@@ -299,9 +302,6 @@
         const val MAXIMUM_SKIPPED_BYTES = 1_048_576L
         val INFORMATIONAL_STATUSES = 100..199
 
-        /** Time for a skipped answer, which the target wrote before, to be complete. */
-        val SKIP_LIMIT: Duration = 250.milliseconds
-
         /** Targets that close idle connections within a second do not state their timeout. */
         val DEFAULT_IDLE_LIMIT: Duration = 300.milliseconds
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/UnmatchedAnswer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/UnmatchedAnswer.kt
@@ -29,7 +29,7 @@
     /** The answer names the pending request and others. */
     SEVERAL_IDENTIFIERS("several-identifiers"),
 
-    /** The head holds two status lines: an answer that was cut runs into another one. */
+    /** The answer holds another status line: it was cut and runs into the one that follows. */
     SEVERAL_HEADS("several-heads"),
 
     /** The answer names no request, and the connection carried others before the pending one. */
