Check that senders wait without comparing counts at set times

Seen: "wait at the sender when the receiver does not read" compared the count at 500 ms with that at 800 ms.

Cause: buffers fill later on a slow machine. No fault of the product is shown.

Change: the count must stay the same while 20 messages pass on another connection and 300 ms go by, and then stay the same once more. A relay limits what the operating system buffers. The time limits of connections are 30 s and heartbeats are off: in a traced run with -Xint the server closed the connection after 3 s without bytes, as documented; the old test ended before that limit.

As strict: the bound of 400 and the 300 ms remain, with less room outside the processes. New: the sender goes on when the receiver reads, and all 400 messages arrive in order.

--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/transport/FrameTamperer.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/transport/FrameTamperer.kt
@@ -14,15 +14,20 @@
 /**
  * TCP proxy that forwards the handshake unchanged and replaces each frame from the connecting side
  * by the result of [transform]. Frames are numbered from 0, which is the `Hello` message.
+ *
+ * @property receiveBufferBytes size of the socket buffer for frames that arrive; null leaves it to
+ *   the operating system
  */
 class FrameTamperer(
     private val server: NetworkAddress,
+    private val receiveBufferBytes: Int? = null,
     private val transform: (Int, ByteArray) -> List<ByteArray>,
 ) : AutoCloseable {
     private val listener = ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"))
     val address = NetworkAddress("127.0.0.1", listener.localPort)
 
     init {
+        receiveBufferBytes?.let { listener.receiveBufferSize = it }
         thread(isDaemon = true) {
             runCatching { while (true) forward(listener.accept()) }
         }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransportTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransportTest.kt
@@ -10,6 +10,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.nio.file.Files
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.io.path.writeText
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -18,6 +19,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -68,6 +70,10 @@
         return listener.also(opened::add)
     }
 
+    private fun bytes(direction: String, kind: String, from: SimpleMeterRegistry): Double =
+        from.get("hibiscus.transport.bytes")
+            .tags("direction", direction, "class", kind).counter().count()
+
     private fun refused(reason: String): Double =
         registry.get("hibiscus.transport.refused").tag("reason", reason).counter().count()
 
@@ -100,33 +106,79 @@
             connection.send(chunk(0, size = 10_000))
             connection.send(LeaseRenewNow(7))
             repeat(2) { received.receive() }
-            fun bytes(direction: String, kind: String, from: SimpleMeterRegistry) =
-                from.get("hibiscus.transport.bytes")
-                    .tags("direction", direction, "class", kind).counter().count()
             assertEquals(bytes("sent", "data", clientMeters), bytes("received", "data", registry))
             assertTrue(bytes("sent", "data", clientMeters) in 10_000.0..10_100.0)
             assertTrue(bytes("received", "control", registry) in 21.0..60.0)
         }
 
-        /** Guards against unbounded memory use at the sender while the receiver does not read. */
+        /**
+         * Guards against unbounded memory use at the sender while the receiver does not read. Other
+         * messages pass meanwhile, so that a busy machine is given more time.
+         */
         @Test
         fun `wait at the sender when the receiver does not read`() = runBlocking {
-            val transport = transport("server")
-            val listener = transport.listen(loopback) { delay(10.seconds) }.also(opened::add)
-            val connection = transport("client").connect(listener.address).unwrap()
-            var count = 0
-            val sender = launch(Dispatchers.Default) {
+            // Its time limits on connections would also depend on the load of the machine.
+            val settings = TransportSettings(30.seconds, 30.seconds, heartbeatInterval = null)
+            val meters = SimpleMeterRegistry()
+            val mayRead = CompletableDeferred<Unit>()
+            val read = Channel<PeerMessage>(Channel.UNLIMITED)
+            val listener = transport("server", settings = settings, meters = meters)
+                .listen(loopback) { connection ->
+                    mayRead.await()
+                    for (message in connection.incoming) read.send(message)
+                }.also(opened::add)
+            val relay = relayWithSmallBuffers(listener.address, meters).also(opened::add)
+            val connection =
+                transport("client", settings = settings).connect(relay.address).unwrap()
+            val other =
+                transport("other", settings = settings).connect(server(settings).address).unwrap()
+            // A sender that blocks its thread would keep the other messages from passing.
+            val senderThread = Dispatchers.Default.limitedParallelism(1)
+            val count = AtomicInteger()
+            val sender = launch(senderThread) {
+                repeat(400) {
+                    assertEquals(Ok(Unit), connection.send(chunk(it, size = 100_000)))
+                    count.incrementAndGet()
+                }
+            }
+            suspend fun countAfterOtherMessages(): Int = withContext(senderThread) {
+                repeat(20) { other.send(chunk(it, size = 100_000)) }
+                repeat(20) { received.receive() }
+                delay(300.milliseconds)
+                count.get()
+            }
+            val before = withTimeout(60.seconds) {
+                var last = countAfterOtherMessages()
                 while (true) {
-                    connection.send(chunk(0, size = 100_000))
-                    count++
+                    val next = countAfterOtherMessages()
+                    if (next == last) break
+                    last = next
                 }
+                last
+            }
+            assertEquals(before, withTimeout(60.seconds) { countAfterOtherMessages() })
+            assertTrue(before < 400, "queued $before messages of 100 kB")
+            mayRead.complete(Unit)
+            withTimeout(60.seconds) {
+                repeat(400) { assertEquals(chunk(it, size = 100_000), read.receive()) }
+                sender.join()
+            }
+        }
+
+        /**
+         * Forwards a frame when the server has received all but 1 MB of those before it, since the
+         * operating system's buffers otherwise grow with the load.
+         */
+        private fun relayWithSmallBuffers(
+            server: NetworkAddress,
+            meters: SimpleMeterRegistry,
+        ): FrameTamperer {
+            var forwarded = 0L
+            return FrameTamperer(server, receiveBufferBytes = 512 * 1024) { _, frame ->
+                while (forwarded > bytes("received", "data", meters) + 1_000_000) Thread.sleep(1)
+                forwarded += frame.size
+                listOf(frame)
             }
-            delay(500.milliseconds)
-            val before = count
-            delay(300.milliseconds)
-            assertEquals(before, count)
-            assertTrue(count < 400, "queued $count messages of 100 kB")
-            sender.cancel()
         }
 
         @Test
@@ -206,7 +258,7 @@
         ) = runBlocking {
             val address = server().address
             val other = transport("other").connect(address).unwrap()
-            val tamperer = FrameTamperer(address, transform).also(opened::add)
+            val tamperer = FrameTamperer(address, transform = transform).also(opened::add)
             val connection = transport("client").connect(tamperer.address).unwrap()
             connection.send(chunk(1))
             connection.send(chunk(2))
