--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CarriedRequests.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CarriedRequests.kt
@@ -3,9 +3,9 @@
 import io.netty.handler.codec.http.HttpMethod
 
 /**
- * The requests that one connection to a target carried. A target may answer a request a second time,
- * late, so an answer on a connection that carried several belongs to the request that it names. This
- * only works if each request has an identifier of its own and is framed like the others.
+ * The requests that one connection to a target carried. A target may answer a request a second
+ * time, late, so an answer on a connection that carried several belongs to the request that it
+ * names. This only works if each request has an identifier of its own and is framed like the others.
  */
 internal class CarriedRequests {
     /** A request whose identifier has the same hash as an earlier one uses another connection. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -44,10 +44,10 @@
 
 /**
  * A connection to a target, which carries one attempt at a time. An answer belongs to the pending
- * request if it names that request and no other, or if the connection carried no other request, and
- * if its head is not made of two answers. One that names another request only is skipped, and the connection
- * is closed after the pending request's own answer. Any other answer ends the connection, and the
- * result of the pending request is unknown.
+ * request if it names that request and no other, or if the connection carried no other request. One
+ * that names another request only is skipped, and the connection is closed after the pending
+ * request's own answer. Any other answer ends the connection, and the result of the pending request
+ * is unknown. So does an answer that holds parts of two.
  */
 internal class TargetConnection(
     private val wire: WireFormat,
@@ -62,8 +62,8 @@
     private var isRequestWritten = false
     private var isSkippingResponse = false
     private var skippedBytes = 0L
-    private var isReadingResponse = false
     private var skippedStatusLines = StatusLineSearch()
+    private var isReadingResponse = false
     private var isEnded = false
     private var isKeepAlive = false
     private var isIdentified = false
@@ -167,7 +167,7 @@
             !isOnlyAnswer && StatusLineSearch.holdsAnother(response) -> SEVERAL_HEADS
             response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
                 return reject("target switches to another protocol")
-            response.status().code() in INFORMATIONAL_STATUSES -> return skip()
+            response.status().code() in INFORMATIONAL_STATUSES -> return beginSkipping()
             else -> unmatchedReason(metadata.requestIdentifiers, isOnlyAnswer)
         }
         if (unmatched != null) return rejectUnmatched(unmatched, response, metadata)
@@ -203,10 +203,10 @@
         report(reason, metadata.requestIdentifiers, response.status().code(), framing)
         val isSkippable =
             reason == OTHER_REQUEST && framing != AnswerFraming.CONNECTION && !isHeadPending
-        if (isSkippable) skip() else reject("unmatched answer: ${reason.text}")
+        if (isSkippable) beginSkipping() else reject("unmatched answer: ${reason.text}")
     }
 
-    private fun skip() {
+    private fun beginSkipping() {
         isSkippingResponse = true
         skippedStatusLines = StatusLineSearch()
     }
@@ -248,14 +248,14 @@
 
     private fun readContent(content: HttpContent) {
         val isLast = content is LastHttpContent
-        if (isSkippingResponse) return skip(content)
+        if (isSkippingResponse) return skipContent(content)
         if (!isReadingResponse) return
         if (content.content().isReadable) listener?.onContent(content)
         if (isLast && !isEnded) completeResponse()
     }
 
     /** Skips a part of an answer, which takes in the pending request's if it was cut. */
-    private fun skip(content: HttpContent) {
+    private fun skipContent(content: HttpContent) {
         skippedBytes += content.content().readableBytes()
         val holdsStatusLine = skippedStatusLines.endsWithin(content.content()) ||
             content is LastHttpContent &&
