Select services whose weights add up to more than an Int holds

Callers of such a route got no answer until their deadline: the sum of the weights overflowed to a negative number, and drawing from an empty range threw at each request, though RoutingCheck takes each weight. The sum is a Long now.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingConfiguration.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingConfiguration.kt
@@ -50,7 +50,7 @@
 ) {
     /** Selects one of the services at random, by their weights. */
     fun selectService(random: Random): ServiceName {
-        var draw = random.nextInt(shares.sumOf { it.weight })
+        var draw = random.nextLong(shares.sumOf { it.weight.toLong() })
         return shares.first { share ->
             draw -= share.weight
             draw < 0
