Refuse two routes whose hosts differ in letter case only

RouteIndex compares hosts without case, RoutingCheck compared them with it: of two such routes the later one silently took the requests of the first. The new case of RoutingCheckTest failed before (no fault was reported) and passes.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingCheck.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RoutingCheck.kt
@@ -23,7 +23,7 @@
     }
 
     private fun duplicateRoutes(routes: List<ForwardingRoute>): List<RoutingFault> = routes
-        .groupBy { it.host to it.pathPrefix }
+        .groupBy { it.host.lowercase() to it.pathPrefix }
         .filterValues { it.size > 1 }
         .keys
         .map { (host, prefix) -> RoutingFault.DuplicateRoute(host, prefix) }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/RoutingCheckTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/RoutingCheckTest.kt
@@ -46,5 +46,14 @@
                 RoutingCheck.faults(invalid),
             )
         }
+
+        @Test
+        fun `routes of hosts that differ in case only are duplicates`() {
+            val routes = listOf(route("a"), route("b", host = "Calls.EXAMPLE"))
+            assertEquals(
+                listOf<RoutingFault>(RoutingFault.DuplicateRoute("calls.example", "/chat/")),
+                RoutingCheck.faults(configuration(routes = routes)),
+            )
+        }
     }
 }
