Open the link to another controller again after an exception

An exception while a link to another controller was opened or used ended its coroutine for good, so that this controller never sent the other one anything again: fewer acknowledgements, a change in force late. The loop is now guarded like the others of a controller: it logs the exception and goes on. ReplicaLinkTest failed before ('1 attempts' in two seconds) and passes, as does ControllerTest.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ReplicaLink.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ReplicaLink.kt
@@ -8,8 +8,8 @@
 import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.daemon.settings.ControllerAddress
 import org.hibiscusproxy.daemon.transport.PeerConnection
 import org.hibiscusproxy.daemon.transport.PeerTransport
@@ -32,7 +32,7 @@
     /** Keeps the connection open until [scope] is cancelled. */
     fun start(scope: CoroutineScope) {
         scope.launch {
-            while (isActive) {
+            repeatGuarded("controller") {
                 transport.connect(peer.address).get()?.use { serve(it) }
                 delay(RECONNECT_DELAY)
             }
