Bound the log of a controller in bytes

Ruled out: an unbounded number of changes as such.

LogSizeTest failed before with 80,000,000 bytes in memory after 200 changes, in both tests, and passes: the bound holds after 200, 1,000 and 5,000 changes, in memory, on disk and after restarts, and for two replicas whose third is away.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Applier.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Applier.kt
@@ -10,6 +10,7 @@
 ) {
     private var bytesSinceSnapshot = 0L
     private var snapshotIndex = snapshot?.index ?: 0
+    private var snapshotBytes = snapshot?.state?.bytes?.size ?: 0
 
     var appliedIndex: Long = snapshotIndex
         private set
@@ -35,12 +36,17 @@
     fun compact() {
         val settings = state.settings
         val isDue = appliedIndex - snapshotIndex >= settings.snapshotEntries ||
-            bytesSinceSnapshot >= settings.snapshotBytes
+            bytesSinceSnapshot >= maxOf(settings.snapshotBytes, snapshotBytes.toLong())
         if (!isDue || appliedIndex == snapshotIndex) return
         val term = checkNotNull(state.log.termAt(appliedIndex))
         val membership = state.log.membershipAt(appliedIndex)
         save(Snapshot(appliedIndex, term, membership, stateMachine.snapshot()))
-        val discarded = appliedIndex - settings.trailingEntries
+        val trailing = state.log.trailing(
+            appliedIndex,
+            settings.trailingEntries,
+            settings.trailingBytes,
+        )
+        val discarded = appliedIndex - trailing
         if (discarded <= state.log.baseIndex) return
         state.log.discardThrough(discarded)
         state.storage.discardThrough(discarded).orFail()
@@ -67,6 +73,7 @@
     private fun save(snapshot: Snapshot) {
         state.storage.saveSnapshot(snapshot).orFail()
         snapshotIndex = snapshot.index
+        snapshotBytes = snapshot.state.bytes.size
         bytesSinceSnapshot = 0
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/EntryLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/EntryLog.kt
@@ -67,6 +67,19 @@
         return batch
     }
 
+    /** Number of entries up to [last], at most [maximumEntries] with at most [maximumBytes]. */
+    fun trailing(last: Long, maximumEntries: Int, maximumBytes: Long): Int {
+        var bytes = 0L
+        return (last downTo baseIndex + 1).asSequence()
+            .take(maximumEntries)
+            .map { this[it].approximateBytes }
+            .takeWhile { size ->
+                bytes += size
+                bytes <= maximumBytes
+            }
+            .count()
+    }
+
     fun append(entry: LogEntry) {
         check(entry.index == lastIndex + 1) { "entry ${entry.index} does not follow $lastIndex" }
         entries.add(entry)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
@@ -66,10 +66,25 @@
             check(entries.first().index == lastIndex + 1) {
                 "entry ${entries.first().index} does not follow $lastIndex"
             }
-            disk.write(channelForAppend(), LogRecord.encode(entries))
-            lastIndex = entries.last().index
+            var written = 0
+            while (written < entries.size) {
+                val batch = batch(entries.subList(written, entries.size))
+                disk.write(channelForAppend(), LogRecord.encode(batch))
+                lastIndex = batch.last().index
+                written += batch.size
+            }
         }
 
+    /** The first of [entries], about as many as fit in a log file but at least one. */
+    private fun batch(entries: List<LogEntry>): List<LogEntry> {
+        var bytes = 0L
+        val count = entries.takeWhile { entry ->
+            bytes += entry.approximateBytes
+            bytes <= segmentBytes
+        }.size
+        return entries.subList(0, maxOf(count, 1))
+    }
+
     override fun truncateFrom(index: Long): Result<Unit, StorageFailure> =
         catching("truncating the log") {
             if (index > lastIndex) return@catching
@@ -213,7 +228,7 @@
         private const val INDEX_DIGITS = 20
 
         /** Size in bytes at which a new log file is started. */
-        const val DEFAULT_SEGMENT_BYTES: Long = 4L * 1024 * 1024
+        const val DEFAULT_SEGMENT_BYTES: Long = 1L * 1024 * 1024
 
         /**
          * Locks [folder] and reads its hard state. An empty or missing folder is initialized for a
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSettings.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSettings.kt
@@ -16,9 +16,11 @@
  * @property maximumBatchBytes maximum size of the entries in one message; a single larger entry is
  * still sent
  * @property snapshotEntries number of applied entries after which the next snapshot is taken
- * @property snapshotBytes size of applied entries after which the next snapshot is taken
- * @property trailingEntries entries retained behind a snapshot so that a slow peer needs no
- * snapshot
+ * @property snapshotBytes size of applied entries after which the next snapshot is taken, unless the
+ * last snapshot is larger: then its size, so that writing snapshots costs no more than the log
+ * @property trailingEntries maximum number of entries retained behind a snapshot so that a slow peer
+ * needs no snapshot
+ * @property trailingBytes maximum size of these entries
  * @property toleratedLosses number of disks that may be lost together without losing a committed
  * entry; must be 0 unless a name never denotes two running processes, since an identity then counts
  * as lost once its name is used with another one
@@ -33,8 +35,9 @@
     val maximumBatchBytes: Int = 256 * 1024,
     val snapshotChunkBytes: Int = 256 * 1024,
     val snapshotEntries: Int = 10_000,
-    val snapshotBytes: Long = 16L * 1024 * 1024,
+    val snapshotBytes: Long = 4L * 1024 * 1024,
     val trailingEntries: Int = 500,
+    val trailingBytes: Long = 2L * 1024 * 1024,
     val promotionLagEntries: Int = 64,
     val toleratedLosses: Int = 0,
 ) {
@@ -55,6 +58,7 @@
         require(trailingEntries >= 0) {
             "trailingEntries must not be negative: $trailingEntries"
         }
+        require(trailingBytes >= 0) { "trailingBytes must not be negative: $trailingBytes" }
         require(promotionLagEntries >= 0) {
             "promotionLagEntries must not be negative: $promotionLagEntries"
         }
