Keep one request for a controller that cannot be reached

While one controller was away, the others queued up to 1,024 messages for it. Each request to a silent member is sent again after 0.4 to 3.2 s, with up to 256 KB or one whole entry, and none was dropped before a thousand heartbeats had come after it: with changes of 400 KB up to 13 MB a peer by reading, five times that with 2,000 routes, of a heap of 64 MB.

Cause: the queue was bounded in messages, not in bytes.

Change: of the messages above 1 KB only the newest waits. The log has one request under way to each member, so a further one is the same again or takes its place. Small messages are kept as before.

ReplicaLinkTest failed before with 40,003,000 queued bytes after 100 requests, and passes. Its test of the number of messages passed before as well.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ReplicaLink.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ReplicaLink.kt
@@ -3,8 +3,6 @@
 import com.github.michaelbull.result.get
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.BufferOverflow
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -16,17 +14,17 @@
 import org.hibiscusproxy.protocol.ControlMessage
 
 /**
- * Sends messages to one other controller over a connection that is reopened whenever it ends. If the
- * queue is full, the oldest message is dropped; the log retransmits what it needs.
+ * Sends messages to one other controller over a connection that is reopened whenever it ends. The log
+ * retransmits what it needs of the messages that [ReplicaQueue] drops.
  */
 internal class ReplicaLink(
     private val peer: ControllerAddress,
     private val transport: PeerTransport,
 ) {
-    private val outgoing = Channel<ControlMessage>(QUEUE_CAPACITY, BufferOverflow.DROP_OLDEST)
+    private val outgoing = ReplicaQueue()
 
     fun send(message: ControlMessage) {
-        outgoing.trySend(message)
+        outgoing.add(message)
     }
 
     /** Keeps the connection open until [scope] is cancelled. */
@@ -41,9 +39,7 @@
 
     private suspend fun serve(connection: PeerConnection) = coroutineScope {
         val sender = launch {
-            for (message in outgoing) {
-                if (connection.send(message).isErr) break
-            }
+            while (connection.send(outgoing.take()).isOk) Unit
             connection.close()
         }
         // The peer sends over its own link. Reading only detects the end of this connection.
@@ -52,7 +48,6 @@
     }
 
     private companion object {
-        const val QUEUE_CAPACITY = 1_024
         val RECONNECT_DELAY = 100.milliseconds
     }
 }
