Bound the routing kept for entries in bytes

Controllers keep the last eight revisions parsed, to send entries differences, and queued each further one for an entry that reads slowly, up to 4,096 messages. With 2,000 routes (a document of 510,451 bytes) each controller held 34 MB of its heap of 64 MB after 20 changes and all three ended before change 50, sooner than by the log alone.

Cause: both were bounded in numbers, not in bytes.

Change: the revisions that are kept have documents of 1 MB in total, and always include the latest and the one before. A revision is not queued while more than four messages wait on the connection; the entry gets the newest one then. An entry's own request is answered as before.

EntryFeedTest failed before in three of the new tests: seven bases of 256 KB and of 4 MB were kept, where three and one are allowed, and 200 messages were queued, where none is. They pass; so does the limit by number, which passed before.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ConnectionSession.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ConnectionSession.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.daemon.controller
 
+import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
@@ -14,10 +15,14 @@
 /** Connects an accepted connection to the worker's input queue. */
 internal class ConnectionSession(private val connection: PeerConnection) : PeerSession {
     private val outgoing = Channel<PeerMessage>(OUTGOING_CAPACITY)
+    private val waiting = AtomicInteger()
 
     override val remote: Hello get() = connection.remote
 
+    override val isBacklogged: Boolean get() = waiting.get() > BACKLOG_MESSAGES
+
     override fun send(message: PeerMessage) {
+        waiting.incrementAndGet()
         if (outgoing.trySend(message).isSuccess) return
         if (outgoing.close()) {
             LOG.warn(
@@ -52,6 +57,7 @@
     private suspend fun sendAll() {
         for (message in outgoing) {
             if (connection.send(message).isErr) return
+            waiting.decrementAndGet()
         }
     }
 
@@ -61,6 +67,9 @@
          * smaller capacity would close the connection of an entry with many pending claims.
          */
         const val OUTGOING_CAPACITY = 4_096
+
+        /** Bounds the routing changes that are held for an entry that reads slowly. */
+        const val BACKLOG_MESSAGES = 4
         val LOG: Logger = LoggerFactory.getLogger(ConnectionSession::class.java)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -47,7 +47,7 @@
     private var announcedAt = time.markNow()
     private var loadSentAt = time.markNow()
 
-    private val history = LinkedHashMap<Long, RoutingConfiguration?>()
+    private val history = LinkedHashMap<Long, Revision>()
 
     /** Changes to the latest revision by base revision, each sent to many entries. */
     private val changes = HashMap<Long, RoutingChange>()
@@ -138,8 +138,15 @@
         val routing = state.routing
         if (routing.revision in history) return
         changes.clear()
-        history[routing.revision] = routing.configuration
-        if (history.size > MAXIMUM_REVISIONS) history.remove(history.keys.first())
+        history[routing.revision] =
+            Revision(routing.configuration, routing.document?.bytes?.size ?: 0)
+        while (
+            history.size > MAXIMUM_REVISIONS ||
+            history.size > MINIMUM_REVISIONS &&
+            history.values.sumOf { it.documentBytes } > HISTORY_BYTES
+        ) {
+            history.remove(history.keys.first())
+        }
     }
 
     private fun sendLoads(now: ComparableTimeMark) {
@@ -165,6 +172,9 @@
 
     private fun current() = RoutingCurrent(state.routing.revision, isLeading, controllers())
 
+    /** [configuration] takes about two to three times as much memory as its document. */
+    private class Revision(val configuration: RoutingConfiguration?, val documentBytes: Int)
+
     private inner class Subscriber(val session: PeerSession) {
         private var sentRevision = 0L
 
@@ -201,7 +211,7 @@
         fun pushChanges(revision: Long) {
             when {
                 waitingSince != null -> sendFirst()
-                sentRevision < revision -> push(sentRevision)
+                sentRevision < revision && !session.isBacklogged -> push(sentRevision)
             }
         }
 
@@ -237,7 +247,7 @@
         private fun change(known: Long): ControlMessage? {
             changes[known]?.let { return it }
             val routing = state.routing
-            val base = history[known] ?: return null
+            val base = history[known]?.configuration ?: return null
             val next = routing.configuration ?: return null
             val difference = if (base == next) null else RoutingDifference.between(base, next)
             return RoutingChange(known, routing.revision, difference, routing.drained)
@@ -267,6 +277,12 @@
         /** An entry that is further behind gets the whole configuration. */
         const val MAXIMUM_REVISIONS = 8
 
+        /** Size of the documents of the revisions that are kept. */
+        const val HISTORY_BYTES = 1024 * 1024
+
+        /** The latest and the one before, so that entries that keep up get a difference. */
+        const val MINIMUM_REVISIONS = 2
+
         /** A third of the time after which an entry considers a silent controller lost. */
         val ANNOUNCEMENT_INTERVAL = 300.milliseconds
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/PeerSession.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/PeerSession.kt
@@ -11,6 +11,9 @@
     /** Handshake message of the remote process. */
     val remote: Hello
 
+    /** Whether messages sent earlier still wait, so that a further large one should wait as well. */
+    val isBacklogged: Boolean get() = false
+
     /** Queues [message] for sending. Does nothing once the connection has ended. */
     fun send(message: PeerMessage)
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ConnectionSessionTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/ConnectionSessionTest.kt
@@ -4,7 +4,12 @@
 import com.github.michaelbull.result.Result
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
 import org.hibiscusproxy.daemon.transport.PeerConnection
 import org.hibiscusproxy.daemon.transport.SendFailure
 import org.hibiscusproxy.model.DataCenterName
@@ -38,4 +43,15 @@
         session.send(LeaseRenewNow(0))
         assertEquals(true, isClosed)
     }
+
+    @Test
+    fun `is backlogged until its messages are queued at the connection`() = runTest {
+        val session = ConnectionSession(connection)
+        repeat(5) { session.send(LeaseRenewNow(it.toLong())) }
+        assertTrue(session.isBacklogged)
+        val transfer = launch { session.run { } }
+        runCurrent()
+        assertFalse(session.isBacklogged)
+        transfer.cancel()
+    }
 }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
@@ -38,6 +39,7 @@
 
     /** Records the messages sent to an entry. */
     private class Entry(name: String) : PeerSession {
+        override var isBacklogged = false
         override val remote = Hello(ProcessName(name), DataCenterName("a"), Incarnation(1))
         private val received = mutableListOf<PeerMessage>()
 
@@ -65,8 +67,9 @@
         feed.advance()
     }
 
-    private fun publish(version: Long) {
-        val command = PublishRouting(RoutingConfiguration(version), Payload.EMPTY, FleetInstant(0))
+    private fun publish(version: Long, documentBytes: Int = 0) {
+        val document = Payload(ByteArray(documentBytes))
+        val command = PublishRouting(RoutingConfiguration(version), document, FleetInstant(0))
         state.apply(version, ControlCodec.encode(command))
     }
 
@@ -97,6 +100,47 @@
         }
     }
 
+    @Nested
+    inner class `Revisions that newer ones replaced` {
+        /** Bases from which an entry gets a difference after [revisions] with such documents. */
+        private fun keptBases(revisions: Long, documentBytes: Int): List<Long> {
+            (1..revisions).forEach {
+                publish(it, documentBytes)
+                feed.advance()
+            }
+            return (1 until revisions).filter { base ->
+                feed.subscribe(entries[0], RoutingRequest(base))
+                entries[0].changes.last() is RoutingChange
+            }
+        }
+
+        @Test
+        fun `are kept up to a size in bytes`() =
+            assertEquals(listOf(17L, 18L, 19L), keptBases(20, documentBytes = 256 * 1024))
+
+        @Test
+        fun `are kept up to a number`() =
+            assertEquals((13L..19L).toList(), keptBases(20, documentBytes = 1_000))
+
+        @Test
+        fun `are replaced by a difference from the one before, however large it is`() =
+            assertEquals(listOf(19L), keptBases(20, documentBytes = 4 * 1024 * 1024))
+
+        @Test
+        fun `are not queued for an entry that reads slowly`() {
+            feed.advance()
+            entries[0].isBacklogged = true
+            (1L..200L).forEach {
+                publish(it)
+                feed.advance()
+            }
+            assertEquals(emptyList(), entries[0].changes)
+            entries[0].isBacklogged = false
+            feed.advance()
+            assertEquals(200, assertIs<RoutingUpdate>(entries[0].changes.single()).revision)
+        }
+    }
+
     @Nested
     inner class SentPrompts {
         @Test
