Count and log the retries that a forwarder allows and denies

The users saw more extra arrivals than the limit allows, and nothing told how many retries a forwarder had allowed or with which count of forwarders. Each decision now counts in forwarder.retries, by service and decision, and a line event=retries gives the decisions of at least five seconds for each service that had any, with the latest count of forwarders. No decision changes.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -289,8 +289,7 @@
         caller.finish()
     }
 
-    private fun acquireRetry(): Boolean =
-        service?.let { node.retryLimiter.tryTake(it, node.selector.forwarders) } == true
+    private fun acquireRetry(): Boolean = service?.let(node::tryRetry) == true
 
     private fun completeWithError(reason: FinalReason, retryAfter: Duration) {
         when {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -119,7 +119,11 @@
     private suspend fun reportLoads(): Nothing {
         repeatGuarded("forwarder") {
             delay(REPORT_INTERVAL)
-            feed.report(withContext(loop.asCoroutineDispatcher()) { node.currentLoad() })
+            val load = withContext(loop.asCoroutineDispatcher()) {
+                node.logRetries()
+                node.currentLoad()
+            }
+            feed.report(load)
             shareEvidence()
         }
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -17,6 +17,7 @@
 import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.forwarding.StreamOrigins
 import org.hibiscusproxy.forwarding.TargetSelector
+import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.Fingerprint
 import org.hibiscusproxy.protocol.FleetLoad
@@ -53,6 +54,8 @@
         time,
     )
 
+    private val retryLog = RetryLog(registry, log, time)
+
     /** Active routes; null until the first configuration is received. */
     var routes: RouteIndex? = null
         private set
@@ -174,6 +177,17 @@
     /** Updates the load that the other forwarders report. */
     fun updateFleetLoad(load: FleetLoad) = selector.updateFleetLoad(load)
 
+    /** Takes one retry at [service] if the limit that all forwarders share allows it. */
+    fun tryRetry(service: ServiceName): Boolean {
+        val forwarders = selector.forwarders
+        val isAllowed = retryLimiter.tryTake(service, forwarders)
+        retryLog.record(service, isAllowed, forwarders)
+        return isAllowed
+    }
+
+    /** Logs the retries since the last call, if enough time has passed. */
+    fun logRetries() = retryLog.writeIfDue()
+
     /** Load of this forwarder, and what it sent and learned, to be reported to the others. */
     fun currentLoad() = EntryLoad(
         selector.ownUsage(),
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -9,6 +9,7 @@
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PromptPart
 import org.hibiscusproxy.forwarding.StatedRate
+import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
@@ -115,6 +116,19 @@
         LOG.info("forwarder: event=unreadable-retry-after target={}", target)
     }
 
+    /** Logs how many retries at [service] were allowed and denied in the last [duration]. */
+    fun retriesDecided(service: ServiceName, counts: RetryCounts, duration: Duration) = write {
+        LOG.info(
+            "forwarder: event=retries service={} allowed={} denied={} forwarders={} " +
+                "milliseconds={}",
+            service,
+            counts.allowed,
+            counts.denied,
+            counts.forwarders,
+            duration.inWholeMilliseconds,
+        )
+    }
+
     private fun write(line: () -> Unit) {
         if (secondStart.elapsedNow() >= 1.seconds) {
             secondStart = timeSource.markNow()
