Keep the retry limit of the fleet through restarts and changes of the leader

Services got more extra arrivals in a window than retryRatio and retrySlack allow. Each forwarder had a sliding window of its own: after a start it had a whole new share, a request of the last window could be used by two processes when its callers moved, and the share of the slack was divided by the entries that reported to the present leader within two seconds, which was 1 or 2 just after a change of leader and lacked those that were cut off.

A forwarder now earns 0.7 of the ratio with each request and 0.3 of its part of the slack with each window, starts with none and keeps at most 0.2 of the ratio for the requests of the last window and 0.6 of its part of the slack. In any window the retries are at most 0.7 of the ratio for the requests in it, 0.2 for those of the window before and 0.9 of the slack, for any series of lives. Every controller counts the forwarders that connected within five minutes and tells no count in its first three seconds; a forwarder uses the largest count of five minutes, and no slack before it has heard one. The same count divides the rate of cold targets, which it could exceed as well.

Weighed: the former windows with this count and no slack for the first window of a process. Reports of used retries to the leader, handed back after a restart: those of the last quarter of a second, in which a burst falls, are lost with the process.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -47,6 +47,8 @@
     private var announcedAt = time.markNow()
     private var loadSentAt = time.markNow()
 
+    private val entryCount = EntryCount(time)
+
     private val history = LinkedHashMap<Long, RoutingConfiguration?>()
 
     /** Changes to the latest revision by base revision, each sent to many entries. */
@@ -58,6 +60,7 @@
     private val isLeading: Boolean get() = confirmedAt() != null
 
     fun subscribe(session: PeerSession, request: RoutingRequest) {
+        entryCount.recordContact(session.remote.process)
         val isNew = session !in subscribers
         val subscriber = subscribers.getOrPut(session) { Subscriber(session) }
         if (isNew) {
@@ -70,7 +73,7 @@
     }
 
     fun disconnected(session: PeerSession) {
-        subscribers.remove(session)
+        subscribers.remove(session)?.let { entryCount.recordContact(session.remote.process) }
     }
 
     fun report(session: PeerSession, load: EntryLoad) {
@@ -152,8 +155,10 @@
         reporting.forEach { subscriber ->
             subscriber.demand.forEach { (service, own) -> demand.merge(service, own, Double::plus) }
         }
+        val connected = subscribers.keys.map { it.remote.process }
+        val entries = entryCount.count(connected) ?: UNKNOWN_COUNT
         reporting.forEach {
-            it.send(FleetLoad(reporting.size, it.withoutOwn(totals), demand = it.othersOf(demand)))
+            it.send(FleetLoad(entries, it.withoutOwn(totals), demand = it.othersOf(demand)))
         }
     }
 
@@ -275,5 +280,8 @@
 
         /** Loads that an entry reported longer ago are ignored. */
         val REPORT_LIFETIME = 2_000.milliseconds
+
+        /** Number of entries in a load that does not tell it. */
+        const val UNKNOWN_COUNT = 0
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -179,7 +179,7 @@
 
     /** Takes one retry at [service] if the limit that all forwarders share allows it. */
     fun tryRetry(service: ServiceName): Boolean {
-        val forwarders = selector.forwarders
+        val forwarders = selector.reportedForwarders
         val isAllowed = retryLimiter.tryTake(service, forwarders)
         retryLog.record(service, isAllowed, forwarders)
         return isAllowed
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RetryLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RetryLog.kt
@@ -20,7 +20,7 @@
     private var writtenAt: ComparableTimeMark = time.markNow()
 
     /** Records a retry at [service], decided with [forwarders] sharing the limit. */
-    fun record(service: ServiceName, isAllowed: Boolean, forwarders: Int) {
+    fun record(service: ServiceName, isAllowed: Boolean, forwarders: Int?) {
         registry.counter(
             "forwarder.retries",
             "service",
@@ -53,6 +53,6 @@
 /**
  * Retries at one service.
  *
- * @property forwarders number of forwarders that shared the limit at the latest one
+ * @property forwarders number of forwarders that shared the limit at the latest one; null if unknown
  */
-internal class RetryCounts(val allowed: Int, val denied: Int, val forwarders: Int)
+internal class RetryCounts(val allowed: Int, val denied: Int, val forwarders: Int?)
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
@@ -4,6 +4,8 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 import org.hibiscusproxy.control.ControlCodec
 import org.hibiscusproxy.control.ControlState
@@ -126,6 +128,7 @@
         @Test
         fun `of the others are summed and sent again only when they change`() {
             val target = TargetName("engine")
+            time += 3.seconds
             feed.report(entries[0], EntryLoad(listOf(TargetUse(target, 2, 100))))
             feed.report(entries[1], EntryLoad(listOf(TargetUse(target, 3, 50))))
             feed.report(entries[2], EntryLoad(emptyList()))
@@ -135,4 +138,46 @@
             assertEquals(listOf(TargetUse(target, 5, 150)), seen.uses)
         }
     }
+
+    /** Guards against a count that lacks entries, which would use more than their shares. */
+    @Nested
+    inner class CountOfEntries {
+        private fun countTold(): Int {
+            feed.report(entries[2], EntryLoad(emptyList(), listOf(prompt(1))))
+            feed.report(entries[0], EntryLoad(emptyList(), listOf(prompt(2))))
+            advanceInterval()
+            return entries[2].loads.last().entries
+        }
+
+        @Test
+        fun `is not told by a controller that started a moment ago`() {
+            assertEquals(0, countTold())
+            time += 2_400.milliseconds
+            assertEquals(0, countTold())
+            time += 1.seconds
+            assertEquals(3, countTold())
+        }
+
+        @Test
+        fun `has entries that report to another leader or are restarted`() {
+            isLeading = false
+            time += 1.minutes
+            isLeading = true
+            val restarted = Entry("entry-1")
+            feed.disconnected(entries[1])
+            assertEquals(3, countTold())
+            feed.subscribe(restarted, RoutingRequest(0))
+            assertEquals(3, countTold())
+        }
+
+        @Test
+        fun `has entries that are cut off for minutes`() {
+            time += 4.seconds
+            feed.disconnected(entries[1])
+            time += 5.minutes - 1.seconds
+            assertEquals(3, countTold())
+            time += 1.seconds
+            assertEquals(2, countTold())
+        }
+    }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RetryLimiter.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RetryLimiter.kt
@@ -6,11 +6,14 @@
 import org.hibiscusproxy.model.ServiceName
 
 /**
- * Limits this forwarder's retries at each service within a sliding window. The limit is a ratio of
- * the forwarder's own requests plus its part of a constant that is divided among all forwarders.
+ * Limits this forwarder's retries at each service, so that all forwarders together send at most
+ * [ratio] times the callers' requests plus [slack] in any sliding [window], whichever of them
+ * restart meanwhile and whatever their callers do. Requests and time earn retries, and unused ones
+ * are kept up to a maximum. A process starts with none: an earlier one with its name may just have
+ * used all that it had kept.
  *
  * @property ratio retries allowed per request
- * @property slack additional retries allowed for all forwarders together
+ * @property slack additional retries allowed for all forwarders together in a window
  */
 class RetryLimiter(
     private val ratio: Double,
@@ -18,36 +21,56 @@
     private val window: Duration,
     private val time: TimeSource.WithComparableMarks,
 ) {
-    private val requests = HashMap<ServiceName, ArrayDeque<ComparableTimeMark>>()
-    private val retries = HashMap<ServiceName, ArrayDeque<ComparableTimeMark>>()
+    private val allowances = HashMap<ServiceName, Allowance>()
+    private val startedAt = time.markNow()
 
     /** Records a caller's request for [service]. */
-    fun recordRequest(service: ServiceName) {
-        recent(requests, service).addLast(time.markNow())
-    }
+    fun recordRequest(service: ServiceName) = allowance(service).recordRequest()
 
-    /** Takes one retry at [service] if the limit allows it with [forwarders] sharing it. */
-    fun tryTake(service: ServiceName, forwarders: Int): Boolean {
-        val used = recent(retries, service)
-        val share = ratio * LIMIT_SHARE * recent(requests, service).size
-        val allowed = share + LIMIT_SHARE * slack / forwarders.coerceAtLeast(1)
-        if (used.size + 1 > allowed) return false
-        used.addLast(time.markNow())
-        return true
-    }
+    /**
+     * Takes one retry at [service] if the limit allows it with [forwarders] sharing the slack. While
+     * their number is unknown, there are only the retries that requests earn.
+     */
+    fun tryTake(service: ServiceName, forwarders: Int?): Boolean =
+        allowance(service).tryTake(if (forwarders == null) 0.0 else slack / forwarders)
+
+    private fun allowance(service: ServiceName) = allowances.getOrPut(service) { Allowance() }
+
+    private inner class Allowance {
+        private val requests = ArrayDeque<ComparableTimeMark>()
+        private var retries = 0.0
+        private var paidUntil = startedAt
 
-    private fun recent(
-        table: HashMap<ServiceName, ArrayDeque<ComparableTimeMark>>,
-        service: ServiceName,
-    ): ArrayDeque<ComparableTimeMark> {
-        val marks = table.getOrPut(service) { ArrayDeque() }
-        val limit = time.markNow() - window
-        while (marks.isNotEmpty() && marks.first() < limit) marks.removeFirst()
-        return marks
+        fun recordRequest() {
+            requests.addLast(time.markNow())
+            forgetOldRequests()
+            retries += ratio * EARNED_SHARE
+        }
+
+        fun tryTake(slackShare: Double): Boolean {
+            forgetOldRequests()
+            val kept = ratio * KEPT_SHARE * requests.size + slackShare * KEPT_SLACK
+            val earned = slackShare * EARNED_SLACK * (paidUntil.elapsedNow() / window)
+            paidUntil = time.markNow()
+            retries = minOf(retries + earned, kept)
+            if (retries < 1) return false
+            retries -= 1
+            return true
+        }
+
+        private fun forgetOldRequests() {
+            val limit = time.markNow() - window
+            while (requests.isNotEmpty() && requests.first() < limit) requests.removeFirst()
+        }
     }
 
+    /** The shares of the ratio and of the slack leave a tenth, for retries that arrive late. */
     private companion object {
-        /** Leaves room for retries that others made under an outdated count of forwarders. */
-        const val LIMIT_SHARE = 0.8
+        const val EARNED_SHARE = 0.7
+
+        /** Share of the ratio for the requests of the last window. */
+        const val KEPT_SHARE = 0.2
+        const val EARNED_SLACK = 0.3
+        const val KEPT_SLACK = 0.6
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -38,9 +38,12 @@
     private val engines = EngineSelector(loadMultiple, refusals)
     private val leastLoaded = LeastLoadedSelector(random, refusals)
 
-    /** Number of forwarders, including this one, as last reported. */
-    var forwarders: Int = ASSUMED_FORWARDERS
-        private set
+    private val forwarderCount = ForwarderCount(time)
+
+    /** Number of forwarders, including this one, as leaders reported; null before the first report. */
+    val reportedForwarders: Int? get() = forwarderCount.largest
+
+    private val forwarders: Int get() = reportedForwarders ?: ASSUMED_FORWARDERS
 
     /** Replaces the targets by the platform's list [targets]. */
     fun updateTargets(targets: List<DiscoveredTarget>) {
@@ -73,7 +76,7 @@
 
     /** Replaces the load of all other forwarders and records what they sent and learned. */
     fun updateFleetLoad(load: FleetLoad) {
-        forwarders = load.entries.coerceAtLeast(1)
+        forwarderCount.record(load.entries)
         states.values.forEach {
             it.othersRunning = 0
             it.othersPendingTokens = 0
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -116,8 +116,10 @@
 ) : ControlMessage()
 
 /**
- * Sum of the requests that all other forwarders have in progress, and the number of forwarders.
+ * Sum of the requests that all other forwarders have in progress.
  *
+ * @property entries number of forwarders, including those that were heard a while ago; 0 if the
+ * sender has just started and may not have heard all
  * @property prompts shared parts that the other forwarders sent since the last message
  * @property rates rates of targets that the other forwarders learned of since the last message
  * @property demand sum of the demand of all other forwarders
