Earn retries only at the service that a request goes to

A caller's attempt that takes up a stream was recorded as a request for the service drawn by the weights of its route, before its origin was known. Where the stream went on at another service, the drawn one earned a retry for a request that never came, and the other got a request that earned none. An attempt whose stream goes on nowhere earned one too. The request is now recorded once the service is known.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -110,8 +110,6 @@
             return refuse(FinalReason.SHUTTING_DOWN, ANOTHER_PROCESS_RETRY_AFTER)
         }
         val chosen = matchedRoute.selectService(node.random)
-        service = chosen
-        node.retryLimiter.recordRequest(chosen)
         if (matchedRoute.isResumable) {
             events = EventSplitter()
             stream = StreamBinding(this, matchedRoute, chosen)
@@ -122,6 +120,12 @@
             TimeUnit.MILLISECONDS,
         )
         stream?.takeIf { it.isTakeUp }?.let { return continueStream(it) }
+        begin(chosen)
+    }
+
+    private fun begin(chosen: ServiceName) {
+        service = chosen
+        node.retryLimiter.recordRequest(chosen)
         sendToTarget()
     }
 
@@ -140,8 +144,7 @@
         if (route?.shares.orEmpty().none { it.service == origin }) {
             return refuseStream(FinalReason.VERSION_GONE)
         }
-        service = origin
-        sendToTarget()
+        begin(origin)
     }
 
     private fun sendToTarget() {
@@ -242,7 +245,7 @@
                 false
             else -> isRepeatable && possibleExecutions < (route?.maximumTargets ?: 1)
         }
-        val willRetry = isAllowed && (ended.wasNotSent || acquireRetry())
+        val willRetry = isAllowed && (ended.wasNotSent || service?.let(node::tryRetry) == true)
         val next = if (willRetry) "another-target" else "final-answer"
         node.log.attemptFailed(
             AttemptSummary(
@@ -289,8 +292,6 @@
         caller.finish()
     }
 
-    private fun acquireRetry(): Boolean = service?.let(node::tryRetry) == true
-
     private fun completeWithError(reason: FinalReason, retryAfter: Duration) {
         when {
             isHeadSent -> abort(reason)
