Count the time of a request from the arrival of its head

Targets got a later deadline than the caller's own: the time of a request began with its complete reception, so a body that was sent slowly, or an answer before it on its connection, was not counted. The route's timeout ran too late as well. It now runs from the arrival of the head, and a request whose time has passed is not sent: not after its reception, and not once a connection is established while the process stood still. A target still counts as unresponsive only by time after the reception.

Ruled out: repeats. What they hand on is read when they are sent, so a pause before it is taken off, and after a pause beyond the deadline none goes out.

A pause between the reading of the clock and the write has no test.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -39,6 +39,9 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private val queuedMessages = ArrayDeque<HttpObject>()
+
+    /** When the heads of the queued requests and of the present one arrived. */
+    private val arrivals = ArrayDeque<ComparableTimeMark>()
     private var head: HttpRequest? = null
     private var body: ByteBuf? = null
     private var exchange: Exchange? = null
@@ -63,6 +66,7 @@
             ReferenceCountUtil.release(message)
             return
         }
+        if (message is HttpRequest) arrivals.addLast(node.time.markNow())
         if (exchange != null || queuedMessages.isNotEmpty()) {
             queuedMessages.addLast(message)
             if (queuedMessages.size > MAXIMUM_QUEUED_MESSAGES) channel.close()
@@ -110,7 +114,7 @@
         val bytes = body ?: Unpooled.EMPTY_BUFFER
         head = null
         body = null
-        val next = Exchange(node, this, request, bytes)
+        val next = Exchange(node, this, request, bytes, arrivals.removeFirst())
         exchange = next
         node.activeExchanges += 1
         // By then the loop has also read whether the caller has left since it sent the request.
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ErrorResponses.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ErrorResponses.kt
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets.UTF_8
 import kotlin.math.ceil
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
 /**
@@ -20,6 +21,12 @@
 
     /** The request may have been executed. */
     const val UNKNOWN = "unknown"
+
+    /** Other processes serve; a caller that finds this one again is refused again. */
+    val ANOTHER_PROCESS_RETRY_AFTER = 50.milliseconds
+
+    /** A fully loaded target typically frees a slot within this time. */
+    val BUSY_RETRY_AFTER = 150.milliseconds
     private const val OUTCOME_HEADER = "X-Hibiscus-Outcome"
     private const val STREAM_HEADER = "X-Hibiscus-Stream"
     private const val RESTART = "restart"
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import org.hibiscusproxy.forwarding.AttemptResult
@@ -23,15 +24,16 @@
 /**
  * Forwards one request of a caller, from its complete reception to the final response. Another
  * target is tried only if no earlier one may have executed the request, or if its route allows
- * repeated execution.
+ * repeated execution. Its time runs from [arrivedAt], when its head arrived.
  */
 internal class Exchange(
     val node: ForwardingNode,
     val caller: CallerConnection,
     val head: HttpRequest,
     val body: ByteBuf,
+    private val arrivedAt: ComparableTimeMark,
 ) {
-    private val startedAt = node.time.markNow()
+    private val receivedAt = node.time.markNow()
 
     /** Metadata from the request headers. */
     val metadata = node.wire.readRequest(head.headers())
@@ -73,7 +75,7 @@
     private val isRepeatable: Boolean get() = route?.isRepeatable == true
 
     /** Time until the timeout of the caller or of the route. */
-    val remaining: Duration get() = timeout - startedAt.elapsedNow()
+    val remaining: Duration get() = timeout - arrivedAt.elapsedNow()
 
     /**
      * Finds the route and sends the request to a target, or responds with an error. If the process
@@ -82,7 +84,7 @@
     fun start() {
         val index = node.routes
         if (index == null || !node.isServing) {
-            return routingWait.begin(startedAt.elapsedNow()) {
+            return routingWait.begin(arrivedAt.elapsedNow()) {
                 refuse(FinalReason.NO_ROUTING, RoutingWait.RETRY_AFTER)
             }
         }
@@ -107,7 +109,7 @@
         val routeTimeout = matchedRoute.timeoutMilliseconds.milliseconds
         timeout = minOf(routeTimeout, metadata.callerTimeout ?: routeTimeout)
         if (node.shutdown?.permits(remaining) == false) {
-            return refuse(FinalReason.SHUTTING_DOWN, ANOTHER_PROCESS_RETRY_AFTER)
+            return refuse(FinalReason.SHUTTING_DOWN, ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER)
         }
         val chosen = matchedRoute.selectService(node.random)
         if (matchedRoute.isResumable) {
@@ -149,11 +151,14 @@
 
     private fun sendToTarget() {
         refusalTime()?.let { return completeWithError(FinalReason.CRASHES_TARGETS, it) }
+        if (!remaining.isPositive()) {
+            return completeWithError(FinalReason.TIMEOUT, ErrorResponses.BUSY_RETRY_AFTER)
+        }
         val currentRoute = checkNotNull(route) { "request has no route" }
         val request = PlacementRequest(
             service = checkNotNull(service) { "request has no service" },
             prompt = metadata.prompt,
-            objective = currentRoute.objectiveMilliseconds.milliseconds - startedAt.elapsedNow(),
+            objective = currentRoute.objectiveMilliseconds.milliseconds - arrivedAt.elapsedNow(),
             remaining = remaining,
             excluded = triedTargets,
             versions = stream?.versions ?: VersionChoice.Any,
@@ -208,7 +213,7 @@
         val reason = FinalReason.SHUTTING_DOWN
         when {
             isHeadSent -> abort(reason)
-            wasNotSent -> refuse(reason, ANOTHER_PROCESS_RETRY_AFTER)
+            wasNotSent -> refuse(reason, ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER)
             else -> fail(HttpResponseStatus.GATEWAY_TIMEOUT, reason, ErrorResponses.UNKNOWN)
         }
         return true
@@ -216,7 +221,7 @@
 
     private fun onTimeout() {
         if (isCompleted) return
-        val isUnresponsive = !isHeadSent && startedAt.elapsedNow() > UNRESPONSIVE_AFTER
+        val isUnresponsive = !isHeadSent && receivedAt.elapsedNow() > UNRESPONSIVE_AFTER
         currentAttempt?.cancel(
             if (isUnresponsive) AttemptResult.TIMED_OUT else AttemptResult.INCONCLUSIVE,
         )
@@ -262,7 +267,7 @@
             events?.discardPartialEvent()
             sendToTarget()
         } else {
-            completeWithError(reason, BUSY_RETRY_AFTER)
+            completeWithError(reason, ErrorResponses.BUSY_RETRY_AFTER)
         }
     }
 
@@ -339,7 +344,7 @@
                 outcome,
                 reason.text,
                 lastFraming,
-                startedAt.elapsedNow(),
+                arrivedAt.elapsedNow(),
                 revision,
             ),
         )
@@ -359,11 +364,5 @@
 
         /** Leaves time for the target's own timeout response to arrive. */
         val TIMEOUT_GRACE = 100.milliseconds
-
-        /** Other processes serve; a caller that finds this one again is refused again. */
-        val ANOTHER_PROCESS_RETRY_AFTER = 50.milliseconds
-
-        /** A fully loaded target typically frees a slot within this time. */
-        val BUSY_RETRY_AFTER = 150.milliseconds
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -66,6 +66,16 @@
             newConnection.cancel()
         } else if (!newConnection.isOpen) {
             onConnectFailed(IOException("the connection was closed before it carried a request"))
+        } else if (!exchange.remaining.isPositive()) {
+            // The process may have stood still while the connection was established.
+            newConnection.cancel()
+            finish(AttemptResult.INCONCLUSIVE)
+            exchange.onAttemptFailed(
+                this,
+                FinalReason.TIMEOUT,
+                "the deadline has passed",
+                isNotExecuted = true,
+            )
         } else if (exchange.refusalTime() != null) {
             newConnection.cancel()
             finish(AttemptResult.INCONCLUSIVE)
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ForwarderFixture.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ForwarderFixture.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler
 import java.net.Socket
 import java.util.concurrent.TimeUnit
+import kotlin.time.TimeSource
 import org.hibiscusproxy.daemon.settings.ForwarderSettings
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.ForwardingRoute
@@ -24,7 +25,10 @@
 import org.hibiscusproxy.protocol.RoutingUpdate
 
 /** A forwarder on loopback without controllers, for targets that the test defines. */
-internal class ForwarderFixture(retrySlack: Double = 10.0) : AutoCloseable {
+internal class ForwarderFixture(
+    retrySlack: Double = 10.0,
+    time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) : AutoCloseable {
     private object NoControllers : ControllerLink {
         override fun sendToAll(message: ControlMessage) = Unit
 
@@ -39,6 +43,7 @@
         loop,
         SimpleMeterRegistry(),
         NoControllers,
+        time,
     )
     private val server = ForwardingServer(group, node)
     private val callers = server.listenForCallers(ANY_PORT)
