Log signals, the end of a process and listeners that cannot be opened

Processes of the users' own runs ended without a trace, so that an end by a signal, by a failed start and by a failed role could not be told apart. Each signal is logged with the phase of the process, the start with the time until the handlers of signals were installed, each end by itself with its exit code and cause, and each listener that cannot be opened with its address. What the process does is unchanged.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
@@ -2,6 +2,7 @@
 
 import io.javalin.Javalin
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.hibiscusproxy.daemon.openListener
 import org.hibiscusproxy.daemon.process.MetricsPage
 import org.hibiscusproxy.model.NetworkAddress
 
@@ -30,8 +31,8 @@
     }
 
     /** Opens the listener. */
-    fun start() {
-        server.value.start(address.host, address.port)
+    suspend fun start() {
+        openListener("administration", address) { server.value.start(address.host, address.port) }
     }
 
     override fun close() {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.getOrElse
 import java.io.IOException
 import java.nio.file.Path
-import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
@@ -14,6 +13,8 @@
 import org.hibiscusproxy.daemon.process.FleetProcess
 import org.hibiscusproxy.daemon.process.FleetProcessFactory
 import org.hibiscusproxy.daemon.process.PlatformAdapters
+import org.hibiscusproxy.daemon.process.ProcessPhase
+import org.hibiscusproxy.daemon.process.ProcessSignals
 import org.hibiscusproxy.daemon.process.SettingsWatcher
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.settings.SettingsReader
@@ -26,19 +27,23 @@
     private val file by argument(ArgType.String, "settings", "Settings file, JSON with comments")
 
     override fun execute() {
+        val signals = ProcessSignals()
+        signals.install()
         val settings = SettingsReader.read(Path.of(file)).getOrElse { faults ->
             faults.forEach { System.err.println("$file: ${it.describe()}") }
-            exitProcess(ExitCode.USAGE.number)
+            end(ExitCode.USAGE, "invalid settings")
         }
         LogSetup.apply(settings.logFormat)
+        signals.logInstallation()
         runBlocking { start(settings) }.fold(
             success = { process ->
-                SettingsWatcher(Path.of(file), process::reload).start()
-                awaitShutdown(process, settings)
+                signals.phase = ProcessPhase.RUNNING
+                SettingsWatcher(Path.of(file), signals, process::reload).start()
+                awaitShutdown(process, signals, settings)
             },
             failure = { failure ->
                 logger.error("process: Startup failed. {}", failure.message)
-                exitProcess(ExitCode.REFUSED.number)
+                end(ExitCode.REFUSED, "failed start")
             },
         )
     }
@@ -46,12 +51,13 @@
     private suspend fun start(settings: Settings) =
         FleetProcessFactory(settings, adapters) { failure ->
             logger.error("process: A role failed. {}", failure.message)
-            Runtime.getRuntime().halt(ExitCode.REFUSED.number)
+            end(ExitCode.REFUSED, "failed role")
         }.start()
 
-    private fun awaitShutdown(process: FleetProcess, settings: Settings) {
+    private fun awaitShutdown(process: FleetProcess, signals: ProcessSignals, settings: Settings) {
         // The hook halts the JVM to set the exit code, which otherwise results from the signal.
         val hook = Thread {
+            signals.phase = ProcessPhase.STOPPING
             val aborted = try {
                 runBlocking { process.shutDown(settings.shutdownSeconds.seconds) }
             } catch (failure: IOException) {
@@ -59,12 +65,19 @@
                 1
             }
             val code = if (aborted == 0) ExitCode.DONE else ExitCode.REFUSED
-            Runtime.getRuntime().halt(code.number)
+            end(code, "signal")
         }
         Runtime.getRuntime().addShutdownHook(hook)
         Thread.currentThread().join()
     }
 
+    /** Ends the process with [code] and logs [cause]. */
+    private fun end(code: ExitCode, cause: String): Nothing {
+        logger.info("process: Ends with exit code {}, cause=\"{}\".", code.number, cause)
+        Runtime.getRuntime().halt(code.number)
+        error("the process goes on after its end")
+    }
+
     private companion object {
         val logger = LoggerFactory.getLogger(RunCommand::class.java)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -27,6 +27,7 @@
 import org.hibiscusproxy.consensus.StorageFailure
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.LeaseSettings
+import org.hibiscusproxy.daemon.openListener
 import org.hibiscusproxy.daemon.settings.ControllerAddress
 import org.hibiscusproxy.daemon.settings.ControllerSettings
 import org.hibiscusproxy.daemon.transport.FleetKey
@@ -105,9 +106,13 @@
         links.start()
         platform?.start(scope)
         discovery?.start(scope)
-        operators?.start()
+        operators?.let { server ->
+            openListener("controller", server.listen) { server.start() }
+        }
         routingOperators = settings.routingOperators?.let { address ->
-            dependencies.ports.serveOperators(address, WorkerRoutingControl(worker))
+            openListener("controller", address) {
+                dependencies.ports.serveOperators(address, WorkerRoutingControl(worker))
+            }
         }
         LOG.info("controller: operators' interface listens at {}", operatorAddress)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
@@ -30,7 +30,7 @@
  * worker and answered asynchronously, so that no server thread blocks.
  */
 internal class OperatorServer(
-    private val listen: NetworkAddress,
+    val listen: NetworkAddress,
     private val verifier: CallVerifier,
     private val leaderAddresses: Map<ProcessName, NetworkAddress>,
     private val submit: (OperatorRequest) -> CompletableFuture<OperatorReply>,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/Entry.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/Entry.kt
@@ -23,6 +23,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import org.hibiscusproxy.daemon.Role
 import org.hibiscusproxy.daemon.RoleContext
+import org.hibiscusproxy.daemon.openListener
 import org.hibiscusproxy.daemon.settings.EntrySettings
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.transport.ControllerLink
@@ -98,7 +99,9 @@
         Gauge.builder("hibiscus.entry.in-progress") { handler.inProgress }
             .description("Requests in progress")
             .register(context.registry)
-        withContext(Dispatchers.IO) { server.start() }
+        openListener("entry", settings.listen) {
+            withContext(Dispatchers.IO) { server.start() }
+        }
         link.start(scope)
         LOG.info("entry: listening at {}", address)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.withContext
 import org.hibiscusproxy.daemon.Role
 import org.hibiscusproxy.daemon.RoleContext
+import org.hibiscusproxy.daemon.openListener
 import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.transport.KtorPeerTransport
@@ -85,8 +86,10 @@
             .register(context.registry)
         val paths = setOf(readinessPath, "/ready")
         val status = StatusHandler(paths, ::isReady, context.metricsText)
-        server.listenForStatus(section.readiness, status)
-        server.listenForCallers(section.listen)
+        openListener("forwarder", section.readiness) {
+            server.listenForStatus(section.readiness, status)
+        }
+        openListener("forwarder", section.listen) { server.listenForCallers(section.listen) }
         feed.start()
         Gauge.builder("forwarder.crash.refusals") { node.refusals.size.toDouble() }
             .register(context.registry)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/SettingsWatcher.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/SettingsWatcher.kt
@@ -11,19 +11,22 @@
 import org.hibiscusproxy.daemon.settings.SettingsReader
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
-import sun.misc.Signal
 
 /**
  * Reloads the settings file on SIGHUP and whenever its modification time changes. An invalid file
  * is ignored and its faults are logged.
  */
-class SettingsWatcher(private val file: Path, private val onChange: (Settings) -> Unit) {
+class SettingsWatcher(
+    private val file: Path,
+    private val processSignals: ProcessSignals,
+    private val onChange: (Settings) -> Unit,
+) {
     private val signals = LinkedBlockingQueue<Unit>(1)
     private var lastModified: FileTime? = readModificationTime()
 
     /** Starts a daemon thread that watches the file until the process exits. */
     fun start() {
-        Signal.handle(Signal("HUP")) { signals.offer(Unit) }
+        processSignals.handle("HUP") { signals.offer(Unit) }
         Thread(::watch, "settings").apply { isDaemon = true }.start()
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransport.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransport.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.hibiscusproxy.daemon.openListener
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.protocol.Hello
 import org.slf4j.Logger
@@ -67,8 +68,8 @@
         address: NetworkAddress,
         handle: suspend (PeerConnection) -> Unit,
     ): PeerListener {
-        val server = aSocket(selector).tcp().bind(address.host, address.port) {
-            reuseAddress = true
+        val server = openListener("transport", address) {
+            aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
         }
         val listenerScope = CoroutineScope(
             scope.coroutineContext + SupervisorJob(scope.coroutineContext.job),
