Keep a SIGHUP that arrives during the start for a reload after it

Processes to which settings were written during their start ended with 129. The handler of SIGHUP was installed by RunCommand after all roles had started, listeners included; until then the signal had the JVM's default. Seen before the change with the options of the deploy file, one process a trial: 129 for SIGHUP at 0.07 to 0.34 s after the start of a forwarder on a free core, and at 0.2 to 1.0 s beside three busy loops on the same core.

Requests to reload are kept until the process has started and count as one.

A signal that arrives before main still ends the process: nothing in Java runs by then.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/Main.kt
@@ -1,35 +1,10 @@
 package org.hibiscusproxy.daemon
 
-import kotlinx.cli.ArgParser
-import kotlinx.cli.ExperimentalCli
-import org.hibiscusproxy.daemon.command.ApplyCommand
-import org.hibiscusproxy.daemon.command.CheckCommand
-import org.hibiscusproxy.daemon.command.DataCenterCommand
-import org.hibiscusproxy.daemon.command.GetCommand
-import org.hibiscusproxy.daemon.command.InstanceCommand
-import org.hibiscusproxy.daemon.command.MemberCommand
-import org.hibiscusproxy.daemon.command.RunCommand
-import org.hibiscusproxy.daemon.command.SettingsPageCommand
-import org.hibiscusproxy.daemon.command.StatusCommand
-import org.hibiscusproxy.daemon.command.TimelineCommand
-import org.hibiscusproxy.daemon.logging.LogSetup
+import org.hibiscusproxy.daemon.process.ProcessSignals
 
 /** Entry point of the `hibiscusproxy` command line. */
-@OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
-    LogSetup.useDirectProvider()
-    val parser = ArgParser("hibiscusproxy", strictSubcommandOptionsOrder = true)
-    parser.subcommands(
-        RunCommand(),
-        CheckCommand(),
-        ApplyCommand(),
-        GetCommand(),
-        DataCenterCommand(),
-        InstanceCommand(),
-        StatusCommand(),
-        MemberCommand(),
-        TimelineCommand(),
-        SettingsPageCommand(),
-    )
-    parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
+    val signals = ProcessSignals()
+    if (arguments.isNotEmpty() && arguments[0] == "run") signals.install()
+    CommandLine.execute(arguments, signals)
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -22,24 +22,24 @@
 
 /** `run`: runs one process of the fleet until it receives SIGTERM or SIGINT. */
 @OptIn(ExperimentalCli::class)
-class RunCommand(private val adapters: PlatformAdapters = PlatformAdapters()) :
-    Subcommand("run", "Run one process with the roles of its settings file") {
+class RunCommand(
+    private val signals: ProcessSignals,
+    private val adapters: PlatformAdapters = PlatformAdapters(),
+) : Subcommand("run", "Run one process with the roles of its settings file") {
     private val file by argument(ArgType.String, "settings", "Settings file, JSON with comments")
 
     override fun execute() {
-        val signals = ProcessSignals()
-        signals.install()
         val settings = SettingsReader.read(Path.of(file)).getOrElse { faults ->
             faults.forEach { System.err.println("$file: ${it.describe()}") }
             end(ExitCode.USAGE, "invalid settings")
         }
         LogSetup.apply(settings.logFormat)
-        signals.logInstallation()
+        signals.startLog()
         runBlocking { start(settings) }.fold(
             success = { process ->
                 signals.phase = ProcessPhase.RUNNING
                 SettingsWatcher(Path.of(file), signals, process::reload).start()
-                awaitShutdown(process, signals, settings)
+                awaitShutdown(process, settings)
             },
             failure = { failure ->
                 logger.error("process: Startup failed. {}", failure.message)
@@ -54,7 +54,7 @@
             end(ExitCode.REFUSED, "failed role")
         }.start()
 
-    private fun awaitShutdown(process: FleetProcess, signals: ProcessSignals, settings: Settings) {
+    private fun awaitShutdown(process: FleetProcess, settings: Settings) {
         // The hook halts the JVM to set the exit code, which otherwise results from the signal.
         val hook = Thread {
             signals.phase = ProcessPhase.STOPPING
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/ProcessSignals.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/ProcessSignals.kt
@@ -1,47 +1,70 @@
 package org.hibiscusproxy.daemon.process
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.TimeSource
-import org.slf4j.Logger
-import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Semaphore
+import java.util.concurrent.TimeUnit
 import sun.misc.Signal
 import sun.misc.SignalHandler
 
-/** Logs each signal that the process receives with its [phase], and passes it on. */
-class ProcessSignals {
-    private var installedAt: ComparableTimeMark = TimeSource.Monotonic.markNow()
+/**
+ * The signals that the process receives. SIGHUP asks for a reload of the settings; it is kept until
+ * [awaitReload] takes it, so that one that arrives during the start is not lost.
+ *
+ * Created and installed before anything else, because until then a SIGHUP ends the process. It
+ * therefore loads few classes, and logs only after [startLog].
+ */
+class ProcessSignals : SignalHandler {
+    private val reloads = Semaphore(0)
+    private val former = ConcurrentHashMap<String, SignalHandler>()
+    private val unlogged = ArrayList<String>()
+    private var installedAt = 0L
+    private var log: SignalLog? = null
 
     /** Phase of the process, for the log. */
     @Volatile
     var phase: ProcessPhase = ProcessPhase.STARTING
 
-    /** Installs the handlers. */
+    /** Installs the handlers, unless they are installed. */
     fun install() {
-        installedAt = TimeSource.Monotonic.markNow()
-        SIGNALS.forEach { handle(it, null) }
+        if (installedAt != 0L) return
+        Signal.handle(Signal(RELOAD), this)
+        STOP.forEach { former[it] = Signal.handle(Signal(it), this) }
+        installedAt = System.nanoTime()
     }
 
-    /** Passes the signal [name] to [handler] from now on, or to the former handler if null. */
-    fun handle(name: String, handler: SignalHandler?) {
-        var next = handler
-        val former = Signal.handle(Signal(name)) { signal ->
-            LOG.info("process: SIG{} received while {}.", signal.name, phase.text)
-            next?.handle(signal)
-        }
-        if (next == null) next = former
+    override fun handle(signal: Signal) {
+        record(signal.name)
+        if (signal.name == RELOAD) reloads.release() else former[signal.name]?.handle(signal)
     }
 
-    /** Logs how long the process could not handle signals. */
-    fun logInstallation() {
-        val age = ProcessAge.read()?.minus(installedAt.elapsedNow())
-        LOG.info(
-            "process: Signal handlers were installed {} ms after the start of the process.",
-            age?.inWholeMilliseconds ?: "an unknown number of",
-        )
+    /**
+     * Waits until a reload of the settings is asked for or [milliseconds] have passed, and returns
+     * whether one is. Requests that were made meanwhile count as one.
+     */
+    fun awaitReload(milliseconds: Long): Boolean {
+        val isRequested = reloads.tryAcquire(milliseconds, TimeUnit.MILLISECONDS)
+        reloads.drainPermits()
+        return isRequested
+    }
+
+    /** Logs the signals from now on, and those received before. */
+    @Synchronized
+    fun startLog() {
+        val started = SignalLog()
+        started.writeInstallation(System.nanoTime() - installedAt)
+        unlogged.forEach(started::writeSignal)
+        unlogged.clear()
+        log = started
+    }
+
+    @Synchronized
+    private fun record(signal: String) {
+        val text = "SIG$signal received while ${phase.text}"
+        log?.writeSignal(text) ?: unlogged.add(text)
     }
 
     private companion object {
-        val SIGNALS = listOf("HUP", "TERM", "INT")
-        val LOG: Logger = LoggerFactory.getLogger(ProcessSignals::class.java)
+        const val RELOAD = "HUP"
+        val STOP = arrayOf("TERM", "INT")
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/SettingsWatcher.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/SettingsWatcher.kt
@@ -5,8 +5,6 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.attribute.FileTime
-import java.util.concurrent.LinkedBlockingQueue
-import java.util.concurrent.TimeUnit
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.settings.SettingsReader
 import org.slf4j.Logger
@@ -18,21 +16,19 @@
  */
 class SettingsWatcher(
     private val file: Path,
-    private val processSignals: ProcessSignals,
+    private val signals: ProcessSignals,
     private val onChange: (Settings) -> Unit,
 ) {
-    private val signals = LinkedBlockingQueue<Unit>(1)
     private var lastModified: FileTime? = readModificationTime()
 
     /** Starts a daemon thread that watches the file until the process exits. */
     fun start() {
-        processSignals.handle("HUP") { signals.offer(Unit) }
         Thread(::watch, "settings").apply { isDaemon = true }.start()
     }
 
     private fun watch() {
         while (true) {
-            val isSignalled = signals.poll(POLL_SECONDS, TimeUnit.SECONDS) != null
+            val isSignalled = signals.awaitReload(POLL_MILLISECONDS)
             val current = readModificationTime()
             if (!isSignalled && current == lastModified) continue
             lastModified = current
@@ -56,7 +52,7 @@
 
     private companion object {
         /** Upper bound of the delay until a change without a signal is detected. */
-        const val POLL_SECONDS = 2L
+        const val POLL_MILLISECONDS = 2_000L
 
         /** Part of each line in the JSON log format, so it stays stable across class renames. */
         const val LOGGER_NAME = "org.hibiscusproxy.daemon.process.SettingsWatch"
