Obey SIGTERM and SIGINT that arrive during the start

A process that was stopped during its start ended with 143 or 130 at once; connections that it had accepted by then were closed without an answer. The shutdown hook was set only after all roles had started.

The signals are kept from the first moment on, like SIGHUP. A start in progress is cancelled at its next step; roles that have started drain, the others are closed, and the process ends with 0. The main thread does this instead of a shutdown hook, so that a second signal changes nothing.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -1,6 +1,6 @@
 package org.hibiscusproxy.daemon.command
 
-import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import java.io.IOException
 import java.nio.file.Path
@@ -8,6 +8,8 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
 import org.hibiscusproxy.daemon.logging.LogSetup
 import org.hibiscusproxy.daemon.process.FleetProcess
@@ -16,6 +18,7 @@
 import org.hibiscusproxy.daemon.process.ProcessPhase
 import org.hibiscusproxy.daemon.process.ProcessSignals
 import org.hibiscusproxy.daemon.process.SettingsWatcher
+import org.hibiscusproxy.daemon.process.StartFailure
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.settings.SettingsReader
 import org.slf4j.LoggerFactory
@@ -35,40 +38,44 @@
         }
         LogSetup.apply(settings.logFormat)
         signals.startLog()
-        runBlocking { start(settings) }.fold(
-            success = { process ->
-                signals.phase = ProcessPhase.RUNNING
-                SettingsWatcher(Path.of(file), signals, process::reload).start()
-                awaitShutdown(process, settings)
-            },
-            failure = { failure ->
-                logger.error("process: Startup failed. {}", failure.message)
-                end(ExitCode.REFUSED, "failed start")
-            },
-        )
-    }
-
-    private suspend fun start(settings: Settings) =
-        FleetProcessFactory(settings, adapters) { failure ->
+        val factory = FleetProcessFactory(settings, adapters) { failure ->
             logger.error("process: A role failed. {}", failure.message)
             end(ExitCode.REFUSED, "failed role")
-        }.start()
+        }
+        val process = factory.create().getOrElse(::endAfterFailedStart)
+        start(factory, process)?.let(::endAfterFailedStart)
+        if (signals.end.cause == null) {
+            signals.phase = ProcessPhase.RUNNING
+            SettingsWatcher(Path.of(file), signals, process::reload).start()
+        }
+        val cause = signals.end.await()
+        signals.phase = ProcessPhase.STOPPING
+        end(shutDown(process, settings), cause.text)
+    }
 
-    private fun awaitShutdown(process: FleetProcess, settings: Settings) {
-        // The hook halts the JVM to set the exit code, which otherwise results from the signal.
-        val hook = Thread {
-            signals.phase = ProcessPhase.STOPPING
-            val aborted = try {
-                runBlocking { process.shutDown(settings.shutdownSeconds.seconds) }
-            } catch (failure: IOException) {
-                logger.error("process: Shutdown failed. {}", failure.message)
-                1
+    /** Starts [process] until its end is requested; returns why it could not be started. */
+    private fun start(factory: FleetProcessFactory, process: FleetProcess): StartFailure? =
+        runBlocking {
+            val start = async { factory.start(process) }
+            signals.end.onMade { start.cancel() }
+            try {
+                start.await().getError()
+            } catch (_: CancellationException) {
+                null
             }
-            val code = if (aborted == 0) ExitCode.DONE else ExitCode.REFUSED
-            end(code, "signal")
         }
-        Runtime.getRuntime().addShutdownHook(hook)
-        Thread.currentThread().join()
+
+    private fun endAfterFailedStart(failure: StartFailure): Nothing {
+        logger.error("process: Startup failed. {}", failure.message)
+        end(ExitCode.REFUSED, "failed start")
+    }
+
+    private fun shutDown(process: FleetProcess, settings: Settings): ExitCode = try {
+        val aborted = runBlocking { process.shutDown(settings.shutdownSeconds.seconds) }
+        if (aborted == 0) ExitCode.DONE else ExitCode.REFUSED
+    } catch (failure: IOException) {
+        logger.error("process: Shutdown failed. {}", failure.message)
+        ExitCode.REFUSED
     }
 
     /** Ends the process with [code] and logs [cause]. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
@@ -1,10 +1,13 @@
 package org.hibiscusproxy.daemon.process
 
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import org.hibiscusproxy.daemon.Role
 import org.hibiscusproxy.daemon.administration.AdministrationServer
 import org.hibiscusproxy.daemon.settings.Settings
@@ -21,6 +24,7 @@
     private val administration: AdministrationServer?,
     private val events: EventRecorder,
 ) : AutoCloseable {
+    private val started = CopyOnWriteArrayList<Role>()
     private val stopping = AtomicBoolean()
     private val closed = AtomicBoolean()
 
@@ -32,7 +36,12 @@
      * process depends on it.
      */
     suspend fun start() {
-        roles.values.forEach { it.start() }
+        for (role in roles.values) {
+            currentCoroutineContext().ensureActive()
+            role.start()
+            started += role
+        }
+        currentCoroutineContext().ensureActive()
         administration?.start()
         events.record(FleetEvent.ProcessStarted(roles.keys.toList()))
         logger.info("process: Started as {}.", roles.keys.joinToString())
@@ -46,6 +55,7 @@
 
     /**
      * Becomes unready, accepts no new work and waits until requests in progress have finished.
+     * Roles whose start did not end are closed at once.
      *
      * @return number of requests aborted because [timeout] expired
      */
@@ -53,7 +63,7 @@
         if (!stopping.compareAndSet(false, true)) return 0
         logger.info("process: Shutting down.")
         val aborted = coroutineScope {
-            roles.values.map { role -> async { role.drain(timeout) } }.awaitAll().sum()
+            started.map { role -> async { role.drain(timeout) } }.awaitAll().sum()
         }
         close()
         if (aborted == 0) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcessFactory.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcessFactory.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.getOrElse
 import io.javalin.util.JavalinBindException
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -32,8 +33,11 @@
     private val adapters: PlatformAdapters = PlatformAdapters(),
     private val onRoleFailure: (Throwable) -> Unit,
 ) {
-    /** Starts all roles, or none. */
-    suspend fun start(): Result<FleetProcess, StartFailure> {
+    /** Creates a process and starts all of its roles, or none. */
+    suspend fun start(): Result<FleetProcess, StartFailure> = create().andThen { start(it) }
+
+    /** Creates a process. */
+    fun create(): Result<FleetProcess, StartFailure> {
         val key = FleetKey.read(Path.of(settings.fleetKeyFile)).getOrElse { failure ->
             return Err(StartFailure.BadKey(failure))
         }
@@ -51,10 +55,11 @@
             AdministrationServer(address, metrics) { process.isReady }
         }
         process = FleetProcess(roles, administration, events)
-        return start(process)
+        return Ok(process)
     }
 
-    private suspend fun start(process: FleetProcess): Result<FleetProcess, StartFailure> = try {
+    /** Starts [process], which is closed on a failure, but not when the coroutine is cancelled. */
+    suspend fun start(process: FleetProcess): Result<FleetProcess, StartFailure> = try {
         process.start()
         Ok(process)
     } catch (failure: IOException) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/ProcessSignals.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/ProcessSignals.kt
@@ -1,6 +1,5 @@
 package org.hibiscusproxy.daemon.process
 
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 import sun.misc.Signal
@@ -8,18 +7,21 @@
 
 /**
  * The signals that the process receives. SIGHUP asks for a reload of the settings; it is kept until
- * [awaitReload] takes it, so that one that arrives during the start is not lost.
+ * [awaitReload] takes it, so that one that arrives during the start is not lost. SIGTERM and SIGINT
+ * ask for the end of the process in the same way.
  *
  * Created and installed before anything else, because until then a SIGHUP ends the process. It
  * therefore loads few classes, and logs only after [startLog].
  */
 class ProcessSignals : SignalHandler {
     private val reloads = Semaphore(0)
-    private val former = ConcurrentHashMap<String, SignalHandler>()
     private val unlogged = ArrayList<String>()
     private var installedAt = 0L
     private var log: SignalLog? = null
 
+    /** The request to end the process. */
+    val end = EndRequest()
+
     /** Phase of the process, for the log. */
     @Volatile
     var phase: ProcessPhase = ProcessPhase.STARTING
@@ -28,13 +30,14 @@
     fun install() {
         if (installedAt != 0L) return
         Signal.handle(Signal(RELOAD), this)
-        STOP.forEach { former[it] = Signal.handle(Signal(it), this) }
+        Signal.handle(Signal("TERM"), this)
+        Signal.handle(Signal("INT"), this)
         installedAt = System.nanoTime()
     }
 
     override fun handle(signal: Signal) {
         record(signal.name)
-        if (signal.name == RELOAD) reloads.release() else former[signal.name]?.handle(signal)
+        if (signal.name == RELOAD) reloads.release() else end.make(EndCause.Signalled(signal.name))
     }
 
     /**
@@ -65,6 +68,5 @@
 
     private companion object {
         const val RELOAD = "HUP"
-        val STOP = arrayOf("TERM", "INT")
     }
 }
