Wait for a listener's address that is in use at the start

A process whose listener's address was held, for example by an earlier process that was still shutting down, ended with exit code 1, and did so again after each restart until the address was free.

Servers are created anew for each attempt.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import org.hibiscusproxy.daemon.openListener
 import org.hibiscusproxy.daemon.process.MetricsPage
+import org.hibiscusproxy.daemon.startOrStop
 import org.hibiscusproxy.model.NetworkAddress
 
 /**
@@ -15,7 +16,7 @@
     private val metrics: MetricsPage,
     private val isReady: () -> Boolean,
 ) : AutoCloseable {
-    private val server = lazy(::createServer)
+    private var server: Javalin? = null
 
     private fun createServer(): Javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
@@ -32,11 +33,13 @@
 
     /** Opens the listener. */
     suspend fun start() {
-        openListener("administration", address) { server.value.start(address.host, address.port) }
+        openListener("administration", address) {
+            server = createServer().apply { startOrStop(address) }
+        }
     }
 
     override fun close() {
-        if (server.isInitialized()) server.value.stop()
+        server?.stop()
     }
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
@@ -14,6 +14,7 @@
 import org.hibiscusproxy.control.ChangeIdentifier
 import org.hibiscusproxy.control.ChangeOutcome
 import org.hibiscusproxy.control.FleetInstant
+import org.hibiscusproxy.daemon.startOrStop
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.FleetState
 import org.hibiscusproxy.model.NetworkAddress
@@ -35,17 +36,21 @@
     private val leaderAddresses: Map<ProcessName, NetworkAddress>,
     private val submit: (OperatorRequest) -> CompletableFuture<OperatorReply>,
 ) : AutoCloseable {
-    private val server = Javalin.create(::configure)
+    private var server: Javalin? = null
 
     /** Address that the server is bound to. */
-    val address: NetworkAddress get() = NetworkAddress(listen.host, server.port())
+    val address: NetworkAddress get() = listen.copy(
+        port = checkNotNull(server) {
+            "not started"
+        }.port(),
+    )
 
     fun start() {
-        server.start(listen.host, listen.port)
+        server = Javalin.create(::configure).apply { startOrStop(listen) }
     }
 
     override fun close() {
-        server.stop()
+        server?.stop()
     }
 
     private fun configure(config: JavalinConfig) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/Entry.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/entry/Entry.kt
@@ -88,24 +88,38 @@
         scope,
     )
     private val isDraining = AtomicBoolean()
-    private val server: Javalin = Javalin.create(::configureServer)
+    private var server: Javalin? = null
 
     override val isReady: Boolean get() = view.current != null && !isDraining.get()
 
     /** Address of the HTTP server; known after [start]. */
-    val address: NetworkAddress get() = NetworkAddress(settings.listen.host, server.port())
+    val address: NetworkAddress get() = settings.listen.copy(
+        port = checkNotNull(server) {
+            "not started"
+        }.port(),
+    )
 
     override suspend fun start() {
         Gauge.builder("hibiscus.entry.in-progress") { handler.inProgress }
             .description("Requests in progress")
             .register(context.registry)
         openListener("entry", settings.listen) {
-            withContext(Dispatchers.IO) { server.start() }
+            withContext(Dispatchers.IO) { startServer() }
         }
         link.start(scope)
         LOG.info("entry: listening at {}", address)
     }
 
+    private fun startServer() {
+        val created = Javalin.create(::configureServer)
+        try {
+            server = created.start()
+        } catch (failure: Exception) {
+            created.stop()
+            throw failure
+        }
+    }
+
     /** Accepts new requests for a short time, until load balancers see the entry as not ready. */
     override suspend fun drain(timeout: Duration): Int {
         isDraining.set(true)
@@ -125,7 +139,7 @@
     }
 
     override fun close() {
-        server.stop()
+        server?.stop()
         link.close()
         view.close()
         scope.cancel()
