Wait for a data folder that another process still holds

A controller whose data folder was locked, for example by an earlier process that stood still, ended with exit code 1 and FolderLocked. It now tries again for 30 s, in the same way as for a listener's address, and then reports the failure as before. The wait ends with SIGTERM.

The two tests in HeldResourceTest failed before, since the process ended, and pass.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import java.nio.file.Path
 import java.security.SecureRandom
@@ -28,6 +29,7 @@
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.LeaseSettings
 import org.hibiscusproxy.daemon.openListener
+import org.hibiscusproxy.daemon.retryWhileHeld
 import org.hibiscusproxy.daemon.settings.ControllerAddress
 import org.hibiscusproxy.daemon.settings.ControllerSettings
 import org.hibiscusproxy.daemon.transport.FleetKey
@@ -189,7 +191,7 @@
             return Ok(controller)
         }
 
-        private fun openStorage(
+        private suspend fun openStorage(
             settings: ControllerSettings,
             random: Random,
         ): Result<LogStorage, StorageFailure> {
@@ -198,7 +200,12 @@
                 return Ok(MemoryLogStorage.ofObserver())
             }
             val identity = generateSequence { random.nextLong() }.first { it != 0L }
-            return FileLogStorage.open(Path.of(settings.dataFolder), identity)
+            val folder = Path.of(settings.dataFolder)
+            return retryWhileHeld(
+                "controller: cannot open $folder",
+                open = { FileLogStorage.open(folder, identity) },
+                cause = { it.getError() as? StorageFailure.FolderLocked },
+            )
         }
 
         private fun logSettings(dependencies: ControllerDependencies) = ReplicatedLogSettings(
