Read a settings file again that is incomplete or missing

A process whose settings were being written at its start ended with exit code 2, since the file was read once; a file that is cut, empty or missing is now read every 0.1 s for 5 s, with a log line, and reported after that. An invalid setting in a complete file is reported at once as before. SIGTERM ends the wait with 0.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -2,9 +2,11 @@
 
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
 import java.io.IOException
 import java.nio.file.Path
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
@@ -20,7 +22,8 @@
 import org.hibiscusproxy.daemon.process.SettingsWatcher
 import org.hibiscusproxy.daemon.process.StartFailure
 import org.hibiscusproxy.daemon.settings.Settings
-import org.hibiscusproxy.daemon.settings.SettingsReader
+import org.hibiscusproxy.daemon.settings.SettingsFile
+import org.hibiscusproxy.daemon.settings.isIncomplete
 import org.slf4j.LoggerFactory
 
 /** `run`: runs one process of the fleet until it receives SIGTERM or SIGINT. */
@@ -32,10 +35,8 @@
     private val file by argument(ArgType.String, "settings", "Settings file, JSON with comments")
 
     override fun execute() {
-        val settings = SettingsReader.read(Path.of(file)).getOrElse { faults ->
-            faults.forEach { System.err.println("$file: ${it.describe()}") }
-            end(ExitCode.USAGE, "invalid settings")
-        }
+        val settingsFile = SettingsFile(Path.of(file))
+        val settings = readSettings(settingsFile)
         LogSetup.apply(settings.logFormat)
         signals.startLog()
         val factory = FleetProcessFactory(settings, adapters) { failure ->
@@ -46,13 +47,34 @@
         start(factory, process)?.let(::endAfterFailedStart)
         if (signals.end.cause == null) {
             signals.phase = ProcessPhase.RUNNING
-            SettingsWatcher(Path.of(file), signals, process::reload).start()
+            SettingsWatcher(settingsFile, signals, process::reload).start()
         }
         val cause = signals.end.await()
         signals.phase = ProcessPhase.STOPPING
         end(shutDown(process, settings), cause.text)
     }
 
+    /** Reads the settings; for a limited time again while the file is missing or incomplete. */
+    private fun readSettings(settingsFile: SettingsFile): Settings {
+        val startedAt = TimeSource.Monotonic.markNow()
+        var isLogged = false
+        while (true) {
+            val faults = settingsFile.read().mapBoth({ return it }, { it })
+            if (!faults.isIncomplete || startedAt.elapsedNow() > INCOMPLETE_LIMIT) {
+                faults.forEach { System.err.println("$file: ${it.describe()}") }
+                end(ExitCode.USAGE, "invalid settings")
+            }
+            if (!isLogged) {
+                val fault = faults.first().describe()
+                val limit = INCOMPLETE_LIMIT
+                logger.warn("process: Settings are incomplete, waiting for {}. {}", limit, fault)
+                isLogged = true
+            }
+            val cause = signals.end.await(INCOMPLETE_RETRY_MILLISECONDS) ?: continue
+            end(ExitCode.DONE, cause.text)
+        }
+    }
+
     /** Starts [process] until its end is requested; returns why it could not be started. */
     private fun start(factory: FleetProcessFactory, process: FleetProcess): StartFailure? =
         runBlocking {
@@ -86,6 +108,9 @@
     }
 
     private companion object {
+        /** Far longer than a settings file is being written. */
+        val INCOMPLETE_LIMIT = 5.seconds
+        const val INCOMPLETE_RETRY_MILLISECONDS = 100L
         val logger = LoggerFactory.getLogger(RunCommand::class.java)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/EndRequest.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/EndRequest.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.daemon.process
 
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** The request to end the process, made by whatever first gives cause. Later causes change nothing. */
 class EndRequest {
@@ -28,6 +29,12 @@
         if (cause != null) action.run()
     }
 
+    /** Waits for [milliseconds] until the end is requested and returns the cause, or null. */
+    fun await(milliseconds: Long): EndCause? {
+        requested.await(milliseconds, TimeUnit.MILLISECONDS)
+        return cause
+    }
+
     /** Waits until the end is requested and returns the cause. */
     fun await(): EndCause {
         requested.await()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsFault.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsFault.kt
@@ -55,6 +55,10 @@
     fun describe(): String = if (path.isEmpty()) message else "$path: $message"
 }
 
+/** Whether the file may be read while it is written: it cannot be read or is not JSON. */
+internal val List<SettingsFault>.isIncomplete: Boolean
+    get() = any { it is SettingsFault.Unreadable || it is SettingsFault.NotJson }
+
 internal fun Double.plainString(): String = if (this == toLong().toDouble()) {
     toLong().toString()
 } else {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsReader.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/SettingsReader.kt
@@ -3,9 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import java.io.IOException
 import java.nio.file.Path
-import kotlin.io.path.readText
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
@@ -18,14 +16,7 @@
     }
 
     /** Reads and validates [file]. */
-    fun read(file: Path): Result<Settings, List<SettingsFault>> {
-        val text = try {
-            file.readText()
-        } catch (failure: IOException) {
-            return Err(listOf(SettingsFault.Unreadable(file.toString(), failure.describe())))
-        }
-        return parse(text)
-    }
+    fun read(file: Path): Result<Settings, List<SettingsFault>> = SettingsFile(file).read()
 
     /** Parses and validates [text]. */
     fun parse(text: String): Result<Settings, List<SettingsFault>> {
@@ -114,7 +105,5 @@
     private fun SerializationException.firstLine(): String =
         message.orEmpty().lineSequence().first()
 
-    private fun IOException.describe(): String = "${this::class.simpleName}: $message"
-
     private val TARGET_URL = Regex("""https?://[0-9a-fA-F.:\[\]]+:\d{1,5}/?""")
 }
