Answer requests whose handling in a forwarder throws

A request got no answer until its deadline, or a connection that was closed, if handling it threw an exception: tasks and timers of the event loop swallow what they throw, the end of a target's answer took the request's listener away before the exception, and exceptionCaught closed the caller's connection without regard to the request. One failing request at the end of the wait for routing also kept those behind it from starting (by reading, no test).

Each step that the event loop calls for a request runs in a guard. It logs the exception and ends the request: refused as not-run if nothing was sent to a target, 502 and unknown otherwise; only an answer that has begun is cut. exceptionCaught does the same, and closes at once only for failures of the connection itself. A request counts as sent only when its target's request could be built, and an answer as begun only when its head was written.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -23,11 +23,14 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import org.hibiscusproxy.forwarding.CallerLimits
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
 
 /**
  * A connection from a caller. It reads a complete request, passes it to an [Exchange] and writes
@@ -114,7 +117,7 @@
         exchange = next
         node.activeExchanges += 1
         // By then the loop has also read whether the caller has left since it sent the request.
-        node.loop.execute { if (channel.isActive) next.start() }
+        node.loop.execute { if (channel.isActive) next.guard { next.start() } }
     }
 
     private fun rejectMalformed(message: HttpObject) {
@@ -130,12 +133,16 @@
 
     /** Rejects a request that was not read completely and closes the connection. */
     private fun rejectAndClose(status: HttpResponseStatus) {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0)
+        rejectAndClose(response)
+    }
+
+    private fun rejectAndClose(response: DefaultFullHttpResponse) {
         isClosing = true
         head = null
         body?.release()
         body = null
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
@@ -184,13 +191,24 @@
         channel.close()
     }
 
+    /** Closes the connection if [failed] has no answer yet. */
+    fun abort(failed: Exchange) {
+        if (exchange === failed) abort()
+    }
+
     /** Closes the connection if it has been without a request for [minimum]. */
     fun closeIfIdle(minimum: Duration) {
         if (isIdle && lastProgress.elapsedNow() >= minimum) channel.close()
     }
 
     /** Answers the request in progress before the process ends; returns whether there was one. */
-    fun endRequest(): Boolean = exchange?.onProcessEnd() ?: false
+    fun endRequest(): Boolean {
+        val current = exchange ?: return false
+        current.guard {
+            current.endEarly(FinalReason.SHUTTING_DOWN, HttpResponseStatus.GATEWAY_TIMEOUT)
+        }
+        return true
+    }
 
     private fun setConnectionHeader(response: HttpResponse) {
         if (node.isDraining) isKeepAlive = false
@@ -225,7 +243,18 @@
 
     @Deprecated("Overrides a deprecated Netty method that is called on connection errors")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        context.close()
+        val current = exchange
+        when {
+            cause is IOException || isClosing -> context.close()
+
+            current != null -> current.onStepFailed(cause)
+
+            else -> {
+                LOG.error("forwarder: reading a request failed", cause)
+                val reason = FinalReason.INTERNAL_FAILURE
+                rejectAndClose(ErrorResponses.refusal(reason, RoutingWait.RETRY_AFTER))
+            }
+        }
     }
 
     private fun checkIdleTime() {
@@ -245,6 +274,8 @@
     }
 
     private companion object {
+        val LOG: Logger = LoggerFactory.getLogger(CallerConnection::class.java)
+
         /** Limit for messages of pipelined requests; a connection that exceeds it is closed. */
         const val MAXIMUM_QUEUED_MESSAGES = 1_024
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -83,26 +83,18 @@
         val index = node.routes
         if (index == null || !node.isServing) {
             return routingWait.begin(startedAt.elapsedNow()) {
-                refuse(FinalReason.NO_ROUTING, RoutingWait.RETRY_AFTER)
+                guard { refuse(FinalReason.NO_ROUTING, RoutingWait.RETRY_AFTER) }
             }
         }
         routingWait.end()
         revision = node.revision
         val host = head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val matchedRoute = index.route(host, head.uri().substringBefore('?'))
-            ?: return fail(
-                HttpResponseStatus.NOT_FOUND,
-                FinalReason.NO_ROUTE,
-                ErrorResponses.NOT_RUN,
-            )
+            ?: return deny(HttpResponseStatus.NOT_FOUND, FinalReason.NO_ROUTE)
         route = matchedRoute
         if (index.needsKeys && !matchedRoute.isPublic) {
             team = metadata.accessKey?.let(index::team)
-                ?: return fail(
-                    HttpResponseStatus.UNAUTHORIZED,
-                    FinalReason.UNKNOWN_KEY,
-                    ErrorResponses.NOT_RUN,
-                )
+                ?: return deny(HttpResponseStatus.UNAUTHORIZED, FinalReason.UNKNOWN_KEY)
         }
         val routeTimeout = matchedRoute.timeoutMilliseconds.milliseconds
         timeout = minOf(routeTimeout, metadata.callerTimeout ?: routeTimeout)
@@ -117,7 +109,7 @@
             stream = StreamBinding(this, matchedRoute, chosen)
         }
         timeoutTask = node.loop.schedule(
-            ::onTimeout,
+            { guard(::onTimeout) },
             (remaining + TIMEOUT_GRACE).inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
@@ -126,13 +118,15 @@
     }
 
     private fun continueStream(binding: StreamBinding) = binding.findOrigin { origin ->
-        when (origin) {
-            is StreamOrigin.Known -> continueAt(origin.version.service)
+        guard {
+            when (origin) {
+                is StreamOrigin.Known -> continueAt(origin.version.service)
 
-            is StreamOrigin.Unknown -> refuseStream(FinalReason.ORIGIN_UNKNOWN)
+                is StreamOrigin.Unknown -> refuseStream(FinalReason.ORIGIN_UNKNOWN)
 
-            is StreamOrigin.NotAnswered ->
-                refuse(FinalReason.ORIGIN_NOT_TOLD, RoutingWait.RETRY_AFTER)
+                is StreamOrigin.NotAnswered ->
+                    refuse(FinalReason.ORIGIN_NOT_TOLD, RoutingWait.RETRY_AFTER)
+            }
         }
     }
 
@@ -197,16 +191,18 @@
         complete("caller-left", FinalReason.CALLER_LEFT)
     }
 
-    /** Answers the caller before the process ends; returns whether the request was in progress. */
-    fun onProcessEnd(): Boolean {
+    /**
+     * Answers the caller at once because of [reason], with the status [failure] if the request may
+     * have run; returns whether it was in progress.
+     */
+    fun endEarly(reason: FinalReason, failure: HttpResponseStatus): Boolean {
         if (isCompleted) return false
         val wasNotSent = !mayHaveRun && currentAttempt?.wasNotSent != false
         currentAttempt?.cancel(AttemptResult.INCONCLUSIVE)
-        val reason = FinalReason.SHUTTING_DOWN
         when {
             isHeadSent -> abort(reason)
             wasNotSent -> refuse(reason, ANOTHER_PROCESS_RETRY_AFTER)
-            else -> fail(HttpResponseStatus.GATEWAY_TIMEOUT, reason, ErrorResponses.UNKNOWN)
+            else -> fail(failure, reason, ErrorResponses.UNKNOWN)
         }
         return true
     }
@@ -270,10 +266,10 @@
 
     /** Forwards the status and headers of the response. */
     fun forwardHead(response: HttpResponse) {
-        isHeadSent = true
         status = response.status().code()
         if (status !in SUCCESS_STATUSES) events = null
         caller.writeHead(response)
+        isHeadSent = true
     }
 
     /** Called when complete events of [target] were forwarded. */
@@ -309,6 +305,9 @@
     private fun refuseStream(reason: FinalReason) =
         respond(ErrorResponses.restart(reason), "refused", reason)
 
+    private fun deny(status: HttpResponseStatus, reason: FinalReason) =
+        fail(status, reason, ErrorResponses.NOT_RUN)
+
     private fun fail(failure: HttpResponseStatus, reason: FinalReason, outcome: String) =
         respond(ErrorResponses.failure(failure, reason, outcome), "failed", reason)
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
@@ -63,6 +63,9 @@
 
     /** The target failed a repeatable request, and no further target may be tried. */
     TARGET_FAILED("target-failed"),
+
+    /** An exception was thrown while the request was handled. */
+    INTERNAL_FAILURE("internal-failure"),
     ;
 
     companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -102,7 +102,7 @@
         isStartScheduled = false
         val next = waitingExchanges.take(STARTS_AT_ONCE)
         waitingExchanges -= next.toSet()
-        next.forEach { it.start() }
+        next.forEach { exchange -> exchange.guard { exchange.start() } }
         startWaiting()
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -56,9 +56,10 @@
 
     fun onConnected(result: ConnectResult) = when (result) {
         // A close of the caller that was read in the same turn of the loop cancels the attempt first.
-        is ConnectResult.Connected -> exchange.node.loop.execute { onConnected(result.connection) }
+        is ConnectResult.Connected ->
+            exchange.node.loop.execute { exchange.guard { onConnected(result.connection) } }
 
-        is ConnectResult.Failed -> onConnectFailed(result.cause)
+        is ConnectResult.Failed -> exchange.guard { onConnectFailed(result.cause) }
     }
 
     private fun onConnected(newConnection: TargetConnection) {
@@ -102,13 +103,14 @@
 
     fun send(newConnection: TargetConnection) {
         connection = newConnection
-        sentAt = exchange.node.time.markNow()
         val request = TargetRequestFactory(exchange).create(target, cachedAt)
-        newConnection.send(request, exchange.metadata.requestIdentifier, this)
+        sentAt = exchange.node.time.markNow()
+        val listener = GuardedListener(exchange, this)
+        newConnection.send(request, exchange.metadata.requestIdentifier, listener)
     }
 
     fun cancel(result: AttemptResult) {
-        finish(result)
+        if (!isFinished) finish(result)
         connection?.cancel()
     }
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWaitTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWaitTest.kt
@@ -3,7 +3,6 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import io.netty.handler.codec.http.HttpHeaders
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -24,8 +23,6 @@
 import org.hibiscusproxy.forwarding.RequestKind
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.forwarding.ServiceShare
-import org.hibiscusproxy.forwarding.StatedPause
-import org.hibiscusproxy.forwarding.StatedRate
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.ServiceName
@@ -37,35 +34,6 @@
 
 /** Requests that come before the routing, as after the start of all processes at once. */
 class RoutingWaitTest {
-    private object PlainWireFormat : WireFormat {
-        override val readinessPath = "/ready"
-
-        override fun readRequest(headers: HttpHeaders) = RequestMetadata(
-            requestIdentifier = headers["X-Request-Id"],
-            callerTimeout = headers["X-Deadline-Ms"]?.toLong()?.milliseconds,
-            accessKey = null,
-            prompt = null,
-            lastEventIdentifier = null,
-            resumedIdentifier = null,
-        )
-
-        override fun writeTargetHeaders(headers: HttpHeaders, values: TargetRequestHeaders) = Unit
-
-        override fun readResponse(status: Int, headers: HttpHeaders) = ResponseMetadata(
-            requestIdentifiers = headers.getAll("X-Request-Id").toSet(),
-            execution = ExecutionStatus.MAY_HAVE_RUN,
-            isSigned = true,
-            isCompressed = false,
-            keepAliveTimeout = null,
-            coldDuration = null,
-            statedRate = StatedRate.Unlimited,
-            isLeaving = false,
-            statedPause = StatedPause.None,
-        )
-
-        override fun removeConnectionHeaders(headers: HttpHeaders) = Unit
-    }
-
     private object NoControllers : ControllerLink {
         override fun sendToAll(message: ControlMessage) = Unit
 
@@ -103,7 +71,7 @@
     private val loop = group.next()
     private val node = ForwardingNode(
         ForwarderSettings(ANY_PORT, ANY_PORT, targetList = ANY_PORT),
-        PlainWireFormat,
+        PlainWireFormat(),
         loop,
         SimpleMeterRegistry(),
         NoControllers,
