--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
@@ -2,7 +2,9 @@
 
 import io.javalin.Javalin
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.hibiscusproxy.daemon.openListener
 import org.hibiscusproxy.daemon.process.MetricsPage
+import org.hibiscusproxy.daemon.startOrStop
 import org.hibiscusproxy.model.NetworkAddress
 
 /**
@@ -14,7 +16,7 @@
     private val metrics: MetricsPage,
     private val isReady: () -> Boolean,
 ) : AutoCloseable {
-    private val server = lazy(::createServer)
+    private var server: Javalin? = null
 
     private fun createServer(): Javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
@@ -30,12 +32,14 @@
     }
 
     /** Opens the listener. */
-    fun start() {
-        server.value.start(address.host, address.port)
+    suspend fun start() {
+        openListener("administration", address) {
+            server = createServer().apply { startOrStop(address) }
+        }
     }
 
     override fun close() {
-        if (server.isInitialized()) server.value.stop()
+        server?.stop()
     }
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -1,71 +1,116 @@
 package org.hibiscusproxy.daemon.command
 
-import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
 import java.io.IOException
 import java.nio.file.Path
-import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
 import org.hibiscusproxy.daemon.logging.LogSetup
 import org.hibiscusproxy.daemon.process.FleetProcess
 import org.hibiscusproxy.daemon.process.FleetProcessFactory
 import org.hibiscusproxy.daemon.process.PlatformAdapters
+import org.hibiscusproxy.daemon.process.ProcessPhase
+import org.hibiscusproxy.daemon.process.ProcessSignals
 import org.hibiscusproxy.daemon.process.SettingsWatcher
+import org.hibiscusproxy.daemon.process.StartFailure
 import org.hibiscusproxy.daemon.settings.Settings
-import org.hibiscusproxy.daemon.settings.SettingsReader
+import org.hibiscusproxy.daemon.settings.SettingsFile
+import org.hibiscusproxy.daemon.settings.isIncomplete
 import org.slf4j.LoggerFactory
 
 /** `run`: runs one process of the fleet until it receives SIGTERM or SIGINT. */
 @OptIn(ExperimentalCli::class)
-class RunCommand(private val adapters: PlatformAdapters = PlatformAdapters()) :
-    Subcommand("run", "Run one process with the roles of its settings file") {
+class RunCommand(
+    private val signals: ProcessSignals,
+    private val adapters: PlatformAdapters = PlatformAdapters(),
+) : Subcommand("run", "Run one process with the roles of its settings file") {
     private val file by argument(ArgType.String, "settings", "Settings file, JSON with comments")
 
     override fun execute() {
-        val settings = SettingsReader.read(Path.of(file)).getOrElse { faults ->
-            faults.forEach { System.err.println("$file: ${it.describe()}") }
-            exitProcess(ExitCode.USAGE.number)
-        }
+        val settingsFile = SettingsFile(Path.of(file))
+        val settings = readSettings(settingsFile)
         LogSetup.apply(settings.logFormat)
-        runBlocking { start(settings) }.fold(
-            success = { process ->
-                SettingsWatcher(Path.of(file), process::reload).start()
-                awaitShutdown(process, settings)
-            },
-            failure = { failure ->
-                logger.error("process: Startup failed. {}", failure.message)
-                exitProcess(ExitCode.REFUSED.number)
-            },
-        )
+        signals.startLog()
+        val factory = FleetProcessFactory(settings, adapters) { failure ->
+            logger.error("process: A role failed. {}", failure.message)
+            end(ExitCode.REFUSED, "failed role")
+        }
+        val process = factory.create().getOrElse(::endAfterFailedStart)
+        start(factory, process)?.let(::endAfterFailedStart)
+        if (signals.end.cause == null) {
+            signals.phase = ProcessPhase.RUNNING
+            SettingsWatcher(settingsFile, signals, process::reload).start()
+        }
+        val cause = signals.end.await()
+        signals.phase = ProcessPhase.STOPPING
+        end(shutDown(process, settings), cause.text)
     }
 
-    private suspend fun start(settings: Settings) =
-        FleetProcessFactory(settings, adapters) { failure ->
-            logger.error("process: A role failed. {}", failure.message)
-            Runtime.getRuntime().halt(ExitCode.REFUSED.number)
-        }.start()
+    /** Reads the settings; for a limited time again while the file is missing or incomplete. */
+    private fun readSettings(settingsFile: SettingsFile): Settings {
+        val startedAt = TimeSource.Monotonic.markNow()
+        var isLogged = false
+        while (true) {
+            val faults = settingsFile.read().mapBoth({ return it }, { it })
+            if (!faults.isIncomplete || startedAt.elapsedNow() > INCOMPLETE_LIMIT) {
+                faults.forEach { System.err.println("$file: ${it.describe()}") }
+                end(ExitCode.USAGE, "invalid settings")
+            }
+            if (!isLogged) {
+                val fault = faults.first().describe()
+                val limit = INCOMPLETE_LIMIT
+                logger.warn("process: Settings are incomplete, waiting for {}. {}", limit, fault)
+                isLogged = true
+            }
+            val cause = signals.end.await(INCOMPLETE_RETRY_MILLISECONDS) ?: continue
+            end(ExitCode.DONE, cause.text)
+        }
+    }
 
-    private fun awaitShutdown(process: FleetProcess, settings: Settings) {
-        // The hook halts the JVM to set the exit code, which otherwise results from the signal.
-        val hook = Thread {
-            val aborted = try {
-                runBlocking { process.shutDown(settings.shutdownSeconds.seconds) }
-            } catch (failure: IOException) {
-                logger.error("process: Shutdown failed. {}", failure.message)
-                1
+    /** Starts [process] until its end is requested; returns why it could not be started. */
+    private fun start(factory: FleetProcessFactory, process: FleetProcess): StartFailure? =
+        runBlocking {
+            val start = async { factory.start(process) }
+            signals.end.onMade { start.cancel() }
+            try {
+                start.await().getError()
+            } catch (_: CancellationException) {
+                null
             }
-            val code = if (aborted == 0) ExitCode.DONE else ExitCode.REFUSED
-            Runtime.getRuntime().halt(code.number)
         }
-        Runtime.getRuntime().addShutdownHook(hook)
-        Thread.currentThread().join()
+
+    private fun endAfterFailedStart(failure: StartFailure): Nothing {
+        logger.error("process: Startup failed. {}", failure.message)
+        end(ExitCode.REFUSED, "failed start")
+    }
+
+    private fun shutDown(process: FleetProcess, settings: Settings): ExitCode = try {
+        val aborted = runBlocking { process.shutDown(settings.shutdownSeconds.seconds) }
+        if (aborted == 0) ExitCode.DONE else ExitCode.REFUSED
+    } catch (failure: IOException) {
+        logger.error("process: Shutdown failed. {}", failure.message)
+        ExitCode.REFUSED
+    }
+
+    /** Ends the process with [code] and logs [cause]. */
+    private fun end(code: ExitCode, cause: String): Nothing {
+        logger.info("process: Ends with exit code {}, cause=\"{}\".", code.number, cause)
+        Runtime.getRuntime().halt(code.number)
+        error("the process goes on after its end")
     }
 
     private companion object {
+        /** Far longer than a settings file is being written. */
+        val INCOMPLETE_LIMIT = 5.seconds
+        const val INCOMPLETE_RETRY_MILLISECONDS = 100L
         val logger = LoggerFactory.getLogger(RunCommand::class.java)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import java.nio.file.Path
 import java.security.SecureRandom
@@ -27,6 +28,8 @@
 import org.hibiscusproxy.consensus.StorageFailure
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.LeaseSettings
+import org.hibiscusproxy.daemon.openListener
+import org.hibiscusproxy.daemon.retryWhileHeld
 import org.hibiscusproxy.daemon.settings.ControllerAddress
 import org.hibiscusproxy.daemon.settings.ControllerSettings
 import org.hibiscusproxy.daemon.transport.FleetKey
@@ -105,9 +108,13 @@
         links.start()
         platform?.start(scope)
         discovery?.start(scope)
-        operators?.start()
+        operators?.let { server ->
+            openListener("controller", server.listen) { server.start() }
+        }
         routingOperators = settings.routingOperators?.let { address ->
-            dependencies.ports.serveOperators(address, WorkerRoutingControl(worker))
+            openListener("controller", address) {
+                dependencies.ports.serveOperators(address, WorkerRoutingControl(worker))
+            }
         }
         LOG.info("controller: operators' interface listens at {}", operatorAddress)
     }
@@ -184,7 +191,7 @@
             return Ok(controller)
         }
 
-        private fun openStorage(
+        private suspend fun openStorage(
             settings: ControllerSettings,
             random: Random,
         ): Result<LogStorage, StorageFailure> {
@@ -193,7 +200,12 @@
                 return Ok(MemoryLogStorage.ofObserver())
             }
             val identity = generateSequence { random.nextLong() }.first { it != 0L }
-            return FileLogStorage.open(Path.of(settings.dataFolder), identity)
+            val folder = Path.of(settings.dataFolder)
+            return retryWhileHeld(
+                "controller: cannot open $folder",
+                open = { FileLogStorage.open(folder, identity) },
+                cause = { it.getError() as? StorageFailure.FolderLocked },
+            )
         }
 
         private fun logSettings(dependencies: ControllerDependencies) = ReplicatedLogSettings(
