Choose an engine for a prompt when all engines are suspended

A request with a prompt got no answer until its deadline while all engines of its service were suspended, or if it named no part of its prompt. EngineSelector looked for the first of the engines in order of preference, of which there are none then, and threw NoSuchElementException on the event loop.

Both tests in TargetSelectorTest failed before with "List is empty" and pass.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/EngineSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/EngineSelector.kt
@@ -75,7 +75,7 @@
         }
         if (uncached < MINIMUM_COPY_TOKENS) return null
         val other = preferred.firstOrNull { it !== best }
-        return other.takeIf { best !== preferred.first() || best.isNew(now) }
+        return other.takeIf { best !== preferred.firstOrNull() || best.isNew(now) }
     }
 
     /** Maximum requests of one engine of [pool], with a margin below the configured bound. */
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
@@ -69,6 +69,24 @@
             assertTrue(failed in both, "$both")
         }
 
+        /** Guards against an exception in place of a choice, after which requests got no answer. */
+        @Test
+        fun `one of several engines that are all suspended is chosen for a prompt`() {
+            val selector = selector(target(1), target(2))
+            for (number in 1..2) {
+                val failed = selector.begin(TargetName("engines-$number"), null)
+                selector.end(failed, AttemptResult.UNREACHABLE)
+            }
+            selector.chosen(request(prompt = prompt("manual")))
+        }
+
+        /** Guards against the same exception. */
+        @Test
+        fun `an engine is chosen for a prompt of which no part is named`() {
+            val unnamed = Prompt("m", emptyList(), promptTokens = 8_500, outputTokens = 50)
+            selector(target(1), target(2)).chosen(request(prompt = unnamed))
+        }
+
         @Test
         fun `an engine that is listed before the routing is known keeps its prompts`() {
             val selector = TargetSelector(2.0, time, Random(1)).apply {
