Drain and close each role whatever another one throws

Requests of a role ended without an answer if another role of the process threw in its drain: the drains were cancelled and the process ended at once. What was thrown in the close of one role kept the others from closing.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/FleetProcess.kt
@@ -3,6 +3,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
@@ -57,15 +58,15 @@
      * Becomes unready, accepts no new work and waits until requests in progress have finished.
      * Roles whose start did not end are closed at once.
      *
-     * @return number of requests aborted because [timeout] expired
+     * @return number of requests aborted because [timeout] expired, and of failures of roles
      */
     suspend fun shutDown(timeout: Duration): Int {
         if (!stopping.compareAndSet(false, true)) return 0
         logger.info("process: Shutting down.")
-        val aborted = coroutineScope {
-            started.map { role -> async { role.drain(timeout) } }.awaitAll().sum()
+        val drained = coroutineScope {
+            started.map { role -> async { drain(role, timeout) } }.awaitAll().sum()
         }
-        close()
+        val aborted = drained + closeAll()
         if (aborted == 0) {
             logger.info("process: Stopped. No requests were aborted.")
         } else {
@@ -74,10 +75,32 @@
         return aborted
     }
 
+    /** A failure counts as an aborted request and does not end the drains of other roles. */
+    private suspend fun drain(role: Role, timeout: Duration): Int = try {
+        role.drain(timeout)
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (failure: Throwable) {
+        logger.error("process: A role did not drain.", failure)
+        1
+    }
+
     override fun close() {
-        if (!closed.compareAndSet(false, true)) return
-        roles.values.forEach { it.close() }
-        administration?.close()
+        closeAll()
+    }
+
+    /** Closes all roles and returns how many failed. */
+    private fun closeAll(): Int {
+        if (!closed.compareAndSet(false, true)) return 0
+        return (roles.values + listOfNotNull(administration)).count { part ->
+            try {
+                part.close()
+                false
+            } catch (failure: Throwable) {
+                logger.error("process: A role did not close.", failure)
+                true
+            }
+        }
     }
 
     private companion object {
