Drain before a process ends by a failed role or an uncaught error

The failure of a controller halted the process at once, also with the requests of a forwarder in the same process. An uncaught error, such as a lack of memory, on a thread that others wait for was printed, and the process went on without the thread.

FailureHandler says in one place what happens: the failure of a role ends the process after the other roles have drained, at once if there are none; an uncaught error ends it after a drain; an uncaught exception is logged. Errors that a request throws on the event loop are handed to it after the request was answered.

FailureHandlerTest covers the four cases; it is new with the class, so that it was not seen failing. No test brings down a real controller beside a forwarder.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -3,7 +3,6 @@
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
-import java.io.IOException
 import java.nio.file.Path
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -14,6 +13,8 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
 import org.hibiscusproxy.daemon.logging.LogSetup
+import org.hibiscusproxy.daemon.process.EndCause
+import org.hibiscusproxy.daemon.process.FailureHandler
 import org.hibiscusproxy.daemon.process.FleetProcess
 import org.hibiscusproxy.daemon.process.FleetProcessFactory
 import org.hibiscusproxy.daemon.process.PlatformAdapters
@@ -39,10 +40,23 @@
         val settings = readSettings(settingsFile)
         LogSetup.apply(settings.logFormat)
         signals.startLog()
-        val factory = FleetProcessFactory(settings, adapters) { failure ->
-            logger.error("process: A role failed. {}", failure.message)
-            end(ExitCode.REFUSED, "failed role")
+        val failures = FailureHandler(signals.end, settings.hasOneRole) { cause ->
+            end(ExitCode.REFUSED, cause.text)
         }
+        Thread.setDefaultUncaughtExceptionHandler(failures)
+        try {
+            run(
+                settings,
+                settingsFile,
+                FleetProcessFactory(settings, adapters, failures::onRoleFailure),
+            )
+        } catch (failure: Throwable) {
+            logger.error("process: Uncaught failure.", failure)
+            end(ExitCode.REFUSED, "uncaught ${failure.javaClass.simpleName}")
+        }
+    }
+
+    private fun run(settings: Settings, settingsFile: SettingsFile, factory: FleetProcessFactory) {
         val process = factory.create().getOrElse(::endAfterFailedStart)
         start(factory, process)?.let(::endAfterFailedStart)
         if (signals.end.cause == null) {
@@ -51,7 +65,8 @@
         }
         val cause = signals.end.await()
         signals.phase = ProcessPhase.STOPPING
-        end(shutDown(process, settings), cause.text)
+        val code = shutDown(process, settings)
+        end(if (cause is EndCause.Signalled) code else ExitCode.REFUSED, cause.text)
     }
 
     /** Reads the settings; for a limited time again while the file is missing or incomplete. */
@@ -92,12 +107,9 @@
         end(ExitCode.REFUSED, "failed start")
     }
 
-    private fun shutDown(process: FleetProcess, settings: Settings): ExitCode = try {
+    private fun shutDown(process: FleetProcess, settings: Settings): ExitCode {
         val aborted = runBlocking { process.shutDown(settings.shutdownSeconds.seconds) }
-        if (aborted == 0) ExitCode.DONE else ExitCode.REFUSED
-    } catch (failure: IOException) {
-        logger.error("process: Shutdown failed. {}", failure.message)
-        ExitCode.REFUSED
+        return if (aborted == 0) ExitCode.DONE else ExitCode.REFUSED
     }
 
     /** Ends the process with [code] and logs [cause]. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeGuard.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeGuard.kt
@@ -17,8 +17,13 @@
 internal fun Exchange.guard(step: () -> Unit) {
     try {
         step()
-    } catch (failure: Throwable) {
+    } catch (failure: Exception) {
         onStepFailed(failure)
+    } catch (failure: Error) {
+        onStepFailed(failure)
+        // The event loop would log the error and go on.
+        val thread = Thread.currentThread()
+        thread.uncaughtExceptionHandler.uncaughtException(thread, failure)
     }
 }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -60,7 +60,11 @@
     val sidecar: SidecarSettings? = null,
     @Setting("Section of the controller role; absent when the process is not a controller.")
     val controller: ControllerSettings? = null,
-)
+) {
+    /** Whether the process runs one role. */
+    val hasOneRole: Boolean
+        get() = listOfNotNull(entry, forwarder, sidecar, controller).size == 1
+}
 
 /** Format of log lines on standard output. */
 @Serializable
