Accept the connections that wait before a listener is closed

Callers whose connection the kernel had accepted, but not the forwarder, got a reset when the forwarder closed its listener in a shutdown, also if their request was already sent. Linux resets what is left in the queue of a closed listener; the event loop accepts 16 connections a turn, and none while it is busy.

ForwardingServer accepts what waits, 1,024 at most, and then closes the listener. A connection that completes between the last accept and the close is still reset.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
@@ -7,12 +7,14 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
+import java.io.IOException
 import kotlin.time.Duration
 import org.hibiscusproxy.forwarding.CallerLimits
 import org.hibiscusproxy.model.NetworkAddress
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
 
 /** HTTP listeners of a forwarder: one for callers, others for readiness and metrics. */
 internal class ForwardingServer(
@@ -21,7 +23,7 @@
 ) {
     private val callers = HashSet<CallerConnection>()
     private val listeners = ArrayList<Channel>()
-    private var callerListener: Channel? = null
+    private var callerListener: CallerListener? = null
 
     /** @throws java.io.IOException when the address cannot be used */
     fun listenForCallers(address: NetworkAddress): NetworkAddress {
@@ -31,7 +33,7 @@
             callers.add(caller)
             channel.pipeline().addLast(codec(limits.headerBytes), caller)
         }
-        callerListener = listener
+        callerListener = listener as CallerListener
         return address.copy(port = (listener.localAddress() as java.net.InetSocketAddress).port)
     }
 
@@ -40,9 +42,15 @@
         bind(address) { it.pipeline().addLast(codec(MAXIMUM_STATUS_HEADER_BYTES), handler) }
     }
 
-    /** Stops accepting connections from callers. */
+    /** Stops accepting connections from callers, after those in the kernel's queue. */
     fun stopAccepting() {
-        callerListener?.close()
+        val listener = callerListener ?: return
+        try {
+            listener.acceptQueued(ACCEPT_BACKLOG)
+        } catch (failure: IOException) {
+            LOG.warn("forwarder: cannot accept the last connections: {}", failure.toString())
+        }
+        listener.close()
     }
 
     /**
@@ -62,7 +70,7 @@
     private fun bind(address: NetworkAddress, initialize: (SocketChannel) -> Unit): Channel =
         ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel::class.java)
+            .channel(CallerListener::class.java)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -87,5 +95,6 @@
         /** Holds a burst of new connections; a full queue would delay them by a second. */
         const val ACCEPT_BACKLOG = 1_024
         const val MAXIMUM_STATUS_HEADER_BYTES = 8_192
+        val LOG: Logger = LoggerFactory.getLogger(ForwardingServer::class.java)
     }
 }
