--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/FileLogStorage.kt
@@ -43,14 +43,17 @@
         val snapshot = recoverSnapshot()
         val base = snapshot?.index ?: 0
         segments.addAll(findSegments())
-        val contents = segments.map { it.read(isLast = it === segments.last()) }
+        val contents = segments.map { it.read(isLast = it === segments.last(), base) }
         checkContinuity(base, contents)
         val repair = repairTail(contents.lastOrNull())
-        val entries = contents.flatMap { it.entries }
-        lastIndex = entries.lastOrNull()?.index ?: base
-        if (snapshot?.isContinuedBy(entries) == false) deleteSegments(base)
+        val filled = segments.zip(contents).filter { (_, content) -> content.count > 0 }
+        val last = filled.lastOrNull()
+        lastIndex = if (last == null) base else last.first.firstIndex + last.second.count - 1
+        val isContinued = snapshot == null || filled.firstOrNull()?.first?.firstIndex == base + 1 ||
+            contents.any { it.baseTerm == snapshot.term }
+        if (!isContinued) deleteSegments(base)
         lastIndex = maxOf(lastIndex, base)
-        val following = if (segments.isEmpty()) emptyList() else entries.filter { it.index > base }
+        val following = if (isContinued) contents.flatMap { it.entries } else emptyList()
         StoredState(hardState, snapshot, following, repair)
     }
 
@@ -162,7 +165,7 @@
                 )
                 fail(missing)
             }
-            expected = segment.firstIndex + contents[position].entries.size
+            expected = segment.firstIndex + contents[position].count
         }
     }
 
