Refuse a change that the controllers cannot hold

A change of any size up to 8 MB was taken into the log, and any number of changes could wait for their confirmation. What a heap of 64 MB cannot hold ended the controllers, and it was in the log after their restart; an entry above the largest message would never have reached the others.

Documents above the limit are not read at all, and those that wait for the worker count as well. The log keeps the sizes of its entries summed up, so that the check costs the same for any number of them.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -70,6 +70,7 @@
         links::send,
     )
     private val worker = ControllerWorker(core, TICK_INTERVAL)
+    private val limits = ChangeLimits()
     private val operators = settings.operators?.let { address ->
         OperatorServer(
             address,
@@ -107,7 +108,7 @@
         discovery?.start(scope)
         operators?.start()
         routingOperators = settings.routingOperators?.let { address ->
-            dependencies.ports.serveOperators(address, WorkerRoutingControl(worker))
+            dependencies.ports.serveOperators(address, WorkerRoutingControl(worker, limits))
         }
         LOG.info("controller: operators' interface listens at {}", operatorAddress)
     }
@@ -203,6 +204,8 @@
             heartbeatInterval = dependencies.settings.heartbeatMilliseconds.milliseconds,
             electionTimeout = dependencies.settings.electionMilliseconds.milliseconds,
             snapshotEntries = dependencies.settings.snapshotEntries,
+            maximumEntryBytes = ChangeLimits().entryBytes,
+            maximumPendingBytes = ChangeLimits().pendingBytes,
             toleratedLosses = dependencies.settings.toleratedLosses
                 .takeIf { dependencies.settings.automaticMembers } ?: 0,
         )
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorService.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration
 import kotlin.time.TimeSource
 import org.hibiscusproxy.consensus.MembershipChange
+import org.hibiscusproxy.consensus.ProposalRefusal
 import org.hibiscusproxy.consensus.ReplicatedLog
 import org.hibiscusproxy.control.ChangeCommand
 import org.hibiscusproxy.control.ChangeIdentifier
@@ -77,6 +78,7 @@
                 }
 
                 is ProposalOutcome.NotProposed -> reply.complete(notLeader())
+                is ProposalOutcome.Refused -> reply.complete(refused(outcome.refusal))
                 is ProposalOutcome.Unknown -> reply.complete(unknown())
             }
         }
@@ -168,6 +170,7 @@
             val answer = when (outcome) {
                 is EntryOutcome.Applied -> OperatorReply.Status(status())
                 is EntryOutcome.NotProposed -> notLeader()
+                is EntryOutcome.Refused -> refused(outcome.refusal)
                 is EntryOutcome.Unknown -> unknown()
             }
             reply.complete(answer)
@@ -199,6 +202,9 @@
         log.leader,
     )
 
+    private fun refused(refusal: ProposalRefusal) =
+        OperatorReply.Failed(OperatorErrorType.INTERNAL, "${refusal.message}; nothing was done")
+
     private fun unknown() = OperatorReply.Failed(
         OperatorErrorType.OUTCOME_UNKNOWN,
         "the leader changed before the change was confirmed; send it again unchanged",
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Proposals.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Proposals.kt
@@ -3,6 +3,7 @@
 import kotlin.time.TimeSource
 import org.hibiscusproxy.consensus.Consensus
 import org.hibiscusproxy.consensus.ConsensusOutput
+import org.hibiscusproxy.consensus.ProposalRefusal
 import org.hibiscusproxy.consensus.ProposalResult
 import org.hibiscusproxy.control.ControlCodec
 import org.hibiscusproxy.control.ControlCommand
@@ -25,6 +26,7 @@
                     ProposalOutcome.Applied(ControlCodec.decodeResult(outcome.output.result))
 
                 is EntryOutcome.NotProposed -> ProposalOutcome.NotProposed(outcome.leader)
+                is EntryOutcome.Refused -> ProposalOutcome.Refused(outcome.refusal)
                 is EntryOutcome.Unknown -> ProposalOutcome.Unknown
             }
             onOutcome(mapped)
@@ -38,6 +40,7 @@
                 pending[result.index] = Pending(result.term, onOutcome)
 
             is ProposalResult.NotLeader -> onOutcome(EntryOutcome.NotProposed(result.leader))
+            is ProposalResult.Refused -> onOutcome(EntryOutcome.Refused(result.refusal))
             is ProposalResult.MembershipChangePending -> onOutcome(EntryOutcome.NotProposed(null))
         }
     }
@@ -72,6 +75,9 @@
     /** The entry is not in the log and never will be. */
     class NotProposed(val leader: ProcessName?) : EntryOutcome()
 
+    /** This leader did not append the entry because of [refusal]. */
+    class Refused(val refusal: ProposalRefusal) : EntryOutcome()
+
     /** The leader changed before the entry was committed; it may or may not take effect. */
     data object Unknown : EntryOutcome()
 }
@@ -84,6 +90,9 @@
     /** The command was not applied and never will be. */
     class NotProposed(val leader: ProcessName?) : ProposalOutcome()
 
+    /** This leader did not accept the command because of [refusal]; it is not applied. */
+    class Refused(val refusal: ProposalRefusal) : ProposalOutcome()
+
     /** The command may or may not be applied; resending it to the next leader is safe. */
     data object Unknown : ProposalOutcome()
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingControl.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingControl.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.daemon.controller
 
 import java.util.concurrent.CompletableFuture
+import org.hibiscusproxy.consensus.ProposalRefusal
 import org.hibiscusproxy.control.RoutingState
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
@@ -9,6 +10,9 @@
 
 /** Operations on the replicated routing that an operators' interface offers. */
 interface RoutingControl {
+    /** Size in bytes above which a document is refused without being read. */
+    val maximumDocumentBytes: Long
+
     /** Publishes [configuration], parsed from [document]. Completes once it is durable. */
     fun publish(
         configuration: RoutingConfiguration,
@@ -33,6 +37,9 @@
     /** Only [leader], null if unknown, can answer. Nothing was done. */
     data class NotLeader(val leader: ProcessName?) : RoutingReply()
 
+    /** The change was not accepted because of [refusal]. Nothing was done. */
+    data class Refused(val refusal: ProposalRefusal) : RoutingReply()
+
     /** No majority confirmed in time; a change may or may not take effect. */
     data object Unconfirmed : RoutingReply()
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
@@ -77,6 +77,7 @@
             val answer = when (outcome) {
                 is ProposalOutcome.Applied -> RoutingReply.Done
                 is ProposalOutcome.NotProposed -> RoutingReply.NotLeader(outcome.leader)
+                is ProposalOutcome.Refused -> RoutingReply.Refused(outcome.refusal)
                 is ProposalOutcome.Unknown -> RoutingReply.Unconfirmed
             }
             LOG.info(
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/WorkerRoutingControl.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/WorkerRoutingControl.kt
@@ -1,22 +1,42 @@
 package org.hibiscusproxy.daemon.controller
 
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.TimeSource
+import org.hibiscusproxy.consensus.ProposalRefusal
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.protocol.Payload
 import org.slf4j.LoggerFactory
 
-/** Queues routing calls for the worker that owns the replica. */
+/**
+ * Queues routing calls for the worker that owns the replica. Changes above the pending size of
+ * [limits] are refused while others wait.
+ */
 internal class WorkerRoutingControl(
     private val worker: ControllerWorker,
+    private val limits: ChangeLimits,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) : RoutingControl {
+    private val waitingBytes = AtomicLong()
+
+    override val maximumDocumentBytes: Long get() = limits.entryBytes.toLong()
+
     override fun publish(
         configuration: RoutingConfiguration,
         document: Payload,
-    ): CompletableFuture<RoutingReply> = submit(RoutingCall.Publish(configuration, document))
+    ): CompletableFuture<RoutingReply> {
+        val bytes = document.bytes.size
+        val waiting = waitingBytes.getAndAdd(bytes.toLong())
+        if (waiting > 0 && waiting + bytes > limits.pendingBytes) {
+            waitingBytes.addAndGet(-bytes.toLong())
+            val refusal = ProposalRefusal.TooManyPending(waiting, limits.pendingBytes)
+            return CompletableFuture.completedFuture(RoutingReply.Refused(refusal))
+        }
+        return submit(RoutingCall.Publish(configuration, document))
+            .whenComplete { _, _ -> waitingBytes.addAndGet(-bytes.toLong()) }
+    }
 
     override fun setDrained(
         dataCenter: DataCenterName,
@@ -44,6 +64,7 @@
             is RoutingReply.Done -> "done"
             is RoutingReply.Current -> "revision ${reply.state.revision}"
             is RoutingReply.NotLeader -> "referred to ${reply.leader}"
+            is RoutingReply.Refused -> "refused, ${reply.refusal.message},"
             is RoutingReply.Unconfirmed -> "unconfirmed"
         }
         val milliseconds = duration.inWholeMilliseconds
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Consensus.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/Consensus.kt
@@ -37,7 +37,7 @@
     /** Handles timeouts that have expired by [now]. */
     fun tick(now: ComparableTimeMark)
 
-    /** Appends [command] if this replica is the leader. */
+    /** Appends [command] if this replica is the leader and can hold it. */
     fun propose(command: Payload, now: ComparableTimeMark): ProposalResult
 
     /** Proposes to add, promote or remove one member. */
@@ -60,6 +60,9 @@
     /** This replica is not the leader. */
     data class NotLeader(val leader: ProcessName?) : ProposalResult()
 
+    /** The command was not appended because of [refusal]. */
+    data class Refused(val refusal: ProposalRefusal) : ProposalResult()
+
     /** Another membership change is not committed yet. */
     data object MembershipChangePending : ProposalResult()
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/EntryLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/EntryLog.kt
@@ -7,6 +7,10 @@
  */
 internal class EntryLog(snapshot: Snapshot?, recovered: List<LogEntry>) {
     private val entries = ArrayDeque<LogEntry>()
+
+    /** Size of all entries appended up to each of [entries]. */
+    private val ends = ArrayDeque<Long>()
+    private var baseEnd = 0L
     private val memberships = ArrayDeque<MembershipAt>()
     private var truncatedFrom: Long? = null
 
@@ -67,6 +71,17 @@
         return batch
     }
 
+    /** Size of the entries after [first] up to [last], which are not discarded. */
+    fun bytesBetween(first: Long, last: Long): Long = endOf(last) - endOf(first)
+
+    private fun endOf(index: Long): Long = if (index ==
+        baseIndex
+    ) {
+        baseEnd
+    } else {
+        ends[position(index)]
+    }
+
     /** Number of entries up to [last], at most [maximumEntries] with at most [maximumBytes]. */
     fun trailing(last: Long, maximumEntries: Int, maximumBytes: Long): Int {
         var bytes = 0L
@@ -82,6 +97,7 @@
 
     fun append(entry: LogEntry) {
         check(entry.index == lastIndex + 1) { "entry ${entry.index} does not follow $lastIndex" }
+        ends.add((ends.lastOrNull() ?: baseEnd) + entry.approximateBytes)
         entries.add(entry)
         val content = entry.content
         if (content is EntryContent.MembershipEntry) {
@@ -92,7 +108,10 @@
     /** Removes the entries from [index] on. */
     fun truncateFrom(index: Long) {
         check(index > baseIndex) { "entry $index is discarded" }
-        while (lastIndex >= index) entries.removeLast()
+        while (lastIndex >= index) {
+            entries.removeLast()
+            ends.removeLast()
+        }
         while (memberships.last().index >= index) memberships.removeLast()
         if (index <= durableIndex) {
             truncatedFrom = index
@@ -107,6 +126,7 @@
         val membership = membershipAt(index)
         while (baseIndex < index) {
             entries.removeFirst()
+            baseEnd = ends.removeFirst()
             baseIndex++
         }
         baseTerm = term
@@ -119,6 +139,7 @@
     /** Replaces the whole log by [snapshot], which is already in the storage. */
     fun resetTo(snapshot: Snapshot) {
         entries.clear()
+        ends.clear()
         memberships.clear()
         memberships.add(MembershipAt(snapshot.index, snapshot.membership))
         baseIndex = snapshot.index
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicaState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicaState.kt
@@ -2,6 +2,7 @@
 
 import kotlin.random.Random
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.protocol.Payload
 
 /**
  * State shared by all parts of a replica: the hard state, the log, the commit index, and the
@@ -83,6 +84,17 @@
     fun quorums(membership: Membership = this.membership, lost: Set<Long> = this.lost): Quorums =
         Quorums(membership, lost, settings.toleratedLosses)
 
+    /** Why a leader refuses to append [command], or null if it appends it. */
+    fun refusalOf(command: Payload): ProposalRefusal? {
+        val bytes = command.bytes.size
+        if (bytes > settings.maximumEntryBytes) {
+            return ProposalRefusal.TooLarge(bytes, settings.maximumEntryBytes)
+        }
+        val pending = log.bytesBetween(commitIndex, log.lastIndex)
+        if (pending == 0L || pending + bytes <= settings.maximumPendingBytes) return null
+        return ProposalRefusal.TooManyPending(pending, settings.maximumPendingBytes)
+    }
+
     fun commitThrough(index: Long) {
         if (index <= commitIndex) return
         check(index <= log.lastIndex) { "cannot commit $index, last entry is ${log.lastIndex}" }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLog.kt
@@ -145,6 +145,7 @@
     override fun propose(command: Payload, now: ComparableTimeMark): ProposalResult {
         checkNotFailed()
         val current = leadership ?: return ProposalResult.NotLeader(leader)
+        state.refusalOf(command)?.let { return ProposalResult.Refused(it) }
         return accepted(current.append(EntryContent.Command(command)))
     }
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSettings.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/ReplicatedLogSettings.kt
@@ -24,6 +24,9 @@
  * @property toleratedLosses number of disks that may be lost together without losing a committed
  * entry; must be 0 unless a name never denotes two running processes, since an identity then counts
  * as lost once its name is used with another one
+ * @property maximumEntryBytes size above which a command is refused
+ * @property maximumPendingBytes size of the entries that are not committed above which commands are
+ * refused, unless there is none
  * @property promotionLagEntries maximum number of entries that a non-voter may lack when promoted
  */
 data class ReplicatedLogSettings(
@@ -38,6 +41,8 @@
     val snapshotBytes: Long = 4L * 1024 * 1024,
     val trailingEntries: Int = 500,
     val trailingBytes: Long = 2L * 1024 * 1024,
+    val maximumEntryBytes: Int = 4 * 1024 * 1024,
+    val maximumPendingBytes: Long = 8L * 1024 * 1024,
     val promotionLagEntries: Int = 64,
     val toleratedLosses: Int = 0,
 ) {
@@ -59,6 +64,10 @@
             "trailingEntries must not be negative: $trailingEntries"
         }
         require(trailingBytes >= 0) { "trailingBytes must not be negative: $trailingBytes" }
+        require(maximumEntryBytes > 0) { "maximumEntryBytes must be positive: $maximumEntryBytes" }
+        require(maximumPendingBytes > 0) {
+            "maximumPendingBytes must be positive: $maximumPendingBytes"
+        }
         require(promotionLagEntries >= 0) {
             "promotionLagEntries must not be negative: $promotionLagEntries"
         }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/LogSizeTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/consensus/LogSizeTest.kt
@@ -168,6 +168,40 @@
         }
     }
 
+    @Nested
+    inner class `A change` {
+        private fun List<Replica>.propose(bytes: Int) =
+            leader().log?.propose(Payload(ByteArray(bytes)), time.markNow())
+
+        @Test
+        fun `above the largest entry is refused and not applied`() {
+            val replicas = cluster(names)
+            replicas.change(1)
+            val refusal = ProposalRefusal.TooLarge(4_194_305, 4_194_304)
+            assertEquals(ProposalResult.Refused(refusal), replicas.propose(4_194_305))
+            elapse(replicas, 1.seconds)
+            replicas.forEach { assertEquals(1, it.machine.number()) }
+            assertIs<ProposalResult.Accepted>(replicas.propose(4_194_304))
+            elapse(replicas, 1.seconds)
+            replicas.forEach { assertEquals(4_194_304, it.machine.newest.bytes.size) }
+            replicas.forEach { it.stop() }
+        }
+
+        @Test
+        fun `is refused while those before it fill the memory, and accepted after they end`() {
+            val replicas = cluster(names)
+            val results = (1..30).map { replicas.propose(COMMAND_BYTES) }
+            assertEquals(20, results.count { it is ProposalResult.Accepted })
+            val refused = assertIs<ProposalResult.Refused>(results.last())
+            assertIs<ProposalRefusal.TooManyPending>(refused.refusal)
+            elapse(replicas, 1.seconds)
+            replicas.change(31)
+            elapse(replicas, 1.seconds)
+            replicas.forEach { assertEquals(31, it.machine.number()) }
+            replicas.forEach { it.stop() }
+        }
+    }
+
     private fun NewestCommand.number() = ByteBuffer.wrap(newest.bytes).int
 
     private companion object {
