--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -73,6 +73,7 @@
         links::send,
     )
     private val worker = ControllerWorker(core, TICK_INTERVAL)
+    private val limits = ChangeLimits()
     private val operators = settings.operators?.let { address ->
         OperatorServer(
             address,
@@ -113,7 +114,7 @@
         }
         routingOperators = settings.routingOperators?.let { address ->
             openListener("controller", address) {
-                dependencies.ports.serveOperators(address, WorkerRoutingControl(worker))
+                dependencies.ports.serveOperators(address, WorkerRoutingControl(worker, limits))
             }
         }
         LOG.info("controller: operators' interface listens at {}", operatorAddress)
@@ -215,6 +216,8 @@
             heartbeatInterval = dependencies.settings.heartbeatMilliseconds.milliseconds,
             electionTimeout = dependencies.settings.electionMilliseconds.milliseconds,
             snapshotEntries = dependencies.settings.snapshotEntries,
+            maximumEntryBytes = ChangeLimits().entryBytes,
+            maximumPendingBytes = ChangeLimits().pendingBytes,
             toleratedLosses = dependencies.settings.toleratedLosses
                 .takeIf { dependencies.settings.automaticMembers } ?: 0,
         )
