Count each target that ends under the same whole request

Cause: crashes within 200 ms counted as one, and three such moments are wanted, so the third crash was the first evidence. Ruled out: counting parts of prompts in the same way, since any moment finds them at many targets; "are not sought in targets that end at the same moment" still holds.

Change: crashes of different targets count each for a whole request, the last fingerprint of a suspect. That is sufficient for a refusal of seconds; a cause that is refused for minutes has to have crashed targets at two moments, so a power loss alone finds none.

The test "that several targets end under at one moment are undecided causes" failed before: expected {[1]=3} but was {}.

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
@@ -61,9 +61,10 @@
     /** The suspects of most crashes without a known cause, with the number of these crashes. */
     fun leadingSuspects(): Map<Fingerprint, Int> =
         evidence(crashes.filterNot { it.isExplained }).entries
-            .sortedByDescending { occasions(it.value) }
+            .associate { it.key to weight(it.key, it.value) }.entries
+            .sortedByDescending { it.value }
             .take(LEADING_SUSPECTS)
-            .associate { it.key to occasions(it.value) }
+            .associate { it.key to it.value }
 
     /** Suspect fingerprints with the time since their first crash; those of most crashes first. */
     fun suspects(): Map<Fingerprint, Duration> {
@@ -97,7 +98,7 @@
         val open = crashes.filter { !it.isExplained && !it.isExplainedBy(refused) }
         val undecided = LinkedHashMap<Set<Fingerprint>, Int>()
         for ((fingerprint, own) in evidence(open).entries) {
-            val count = occasions(own)
+            val count = weight(fingerprint, own)
             val required = requiredCrashes(fingerprint, own, refused)
             // A refusal of what most requests have would stop the service.
             if (isCommon(fingerprint, own)) continue
@@ -111,17 +112,18 @@
         evidence: Map<Fingerprint, List<Crash>>,
         refused: Collection<Set<Fingerprint>>,
     ): Set<Fingerprint>? {
-        val occasions = evidence.mapValues { occasions(it.value) }
-        for ((fingerprint, own) in evidence.entries.sortedByDescending { occasions[it.key] }) {
+        val weights = evidence.mapValues { (fingerprint, own) -> weight(fingerprint, own) }
+        for ((fingerprint, own) in evidence.entries.sortedByDescending { weights[it.key] }) {
             val required = requiredCrashes(fingerprint, own, refused)
-            if (occasions.getValue(fingerprint) < required) continue
+            if (weights.getValue(fingerprint) < required) continue
             val isKnown = setOf(fingerprint) in refused
+            if (occasions(own) < minOf(required, MOMENTS_OF_CAUSE)) continue
             if (!isKnown && own.first().at.elapsedNow() < ANSWER_REPORT_TIME) continue
             val cause = mostSpecificCause(fingerprint, own, required)
             val explained = own.filter { it.isExplainedBy(listOf(cause)) }
-            val count = occasions(explained)
+            val count = weight(fingerprint, explained)
             val hasRival = explained.any { crash ->
-                crash.fingerprints.any { it !in cause && (occasions[it] ?: 0) >= count }
+                crash.fingerprints.any { it !in cause && (weights[it] ?: 0) >= count }
             }
             if (!hasRival) return cause
         }
@@ -147,8 +149,8 @@
                 }
             }
         }
-        val least = maxOf(required, occasions(own) - TOLERATED_COINCIDENCES)
-        return combinations.filterValues { occasions(it.toList()) >= least }.keys
+        val least = maxOf(required, weight(fingerprint, own) - TOLERATED_COINCIDENCES)
+        return combinations.filterValues { weight(fingerprint, it.toList()) >= least }.keys
             .maxBy { it.size }
     }
 
@@ -189,6 +191,14 @@
     private fun isCleared(suspect: Fingerprint, crash: Crash): Boolean =
         survivedAt[suspect].let { it != null && it >= crash.at }
 
+    /**
+     * Number of [own] crashes that count against [fingerprint]. Targets that end at the same moment
+     * may share another cause, and parts of prompts are at many targets at any moment; the same
+     * whole request is at several of them only if it came several times.
+     */
+    private fun weight(fingerprint: Fingerprint, own: List<Crash>): Int =
+        if (own.all { fingerprint in it.requests }) own.size else occasions(own)
+
     /** Number of different moments at which [own] took place. */
     private fun occasions(own: List<Crash>): Int {
         var count = 0
@@ -219,6 +229,9 @@
 
         val fingerprints: Set<Fingerprint> get() = suspects.flatMapTo(LinkedHashSet()) { it }
 
+        /** Fingerprints of whole requests. */
+        val requests: Set<Fingerprint> get() = suspects.mapNotNullTo(HashSet()) { it.lastOrNull() }
+
         fun isExplainedBy(causes: Collection<Set<Fingerprint>>): Boolean =
             causes.any { cause -> suspects.any { it.containsAll(cause) } }
     }
@@ -233,6 +246,9 @@
         /** Crashes at different moments from which a suspect is treated as the cause. */
         private const val CRASHES_OF_UNKNOWN_CAUSE = 3
 
+        /** Different moments of these, since targets that end at one may share another cause. */
+        private const val MOMENTS_OF_CAUSE = 2
+
         /** The same for a part that most of the suspects have. */
         private const val CRASHES_OF_COMMON_PART = 6
         private const val MINIMUM_SUSPECTS_OF_COMMON_PART = 8
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
@@ -149,6 +149,23 @@
         }
     }
 
+    @Nested
+    inner class Suspects {
+        @Test
+        fun `that several targets end under at one moment are undecided causes`() {
+            repeat(3) { crash(setOf(cause)) }
+            settle()
+            assertEquals(mapOf(setOf(cause) to 3), analysis.undecidedCauses(emptySet()))
+        }
+
+        @Test
+        fun `that are parts of several requests at one moment are not`() {
+            repeat(3) { crash(setOf(base, subjects[it])) }
+            settle()
+            assertEquals(emptyMap(), analysis.undecidedCauses(emptySet()))
+        }
+    }
+
     @Nested
     inner class Crashes {
         @Test
