Keep more suspects of a crash

Callers saw: with few targets, a crashing request was sent on, and sound requests were refused instead. Cause: when other targets have ended, one target has all the load, and of more than 32 requests that it had just begun, the cause could be dropped, which left a bystander with the most crashes.

Change: 128 suspects of a crash are kept. The test "are found among those of a target that has all the load" failed before: expected [[1]] but was [].

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
@@ -241,7 +241,7 @@
         val ANSWER_START: Duration = 250.milliseconds
 
         /** Suspect requests kept of one crash. */
-        const val MAXIMUM_SUSPECTS: Int = 32
+        const val MAXIMUM_SUSPECTS: Int = 128
 
         /** Crashes at different moments from which a suspect is treated as the cause. */
         private const val CRASHES_OF_UNKNOWN_CAUSE = 3
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
@@ -164,6 +164,17 @@
             settle()
             assertEquals(emptyMap(), analysis.undecidedCauses(emptySet()))
         }
+
+        @Test
+        fun `are found among those of a target that has all the load`() {
+            repeat(3) { number ->
+                val bystanders = List(60) { setOf(Fingerprint(1_000L * (number + 1) + it)) }
+                crash(*bystanders.toTypedArray(), setOf(cause))
+                time += 1.seconds
+            }
+            settle()
+            assertEquals(setOf(setOf(cause)), analysis.causes())
+        }
     }
 
     @Nested
