--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
@@ -149,6 +149,45 @@
         }
     }
 
+    @Nested
+    inner class Suspects {
+        @Test
+        fun `that several targets end under at one moment are undecided causes`() {
+            repeat(3) { crash(setOf(cause)) }
+            settle()
+            assertEquals(mapOf(setOf(cause) to 3), analysis.undecidedCauses(emptySet()))
+        }
+
+        @Test
+        fun `that are parts of several requests at one moment are not`() {
+            repeat(3) { crash(setOf(base, subjects[it])) }
+            settle()
+            assertEquals(emptyMap(), analysis.undecidedCauses(emptySet()))
+        }
+
+        @Test
+        fun `of more crashes than others are no causes before the others can be answered`() {
+            repeat(3) {
+                crash(setOf(cause), setOf(subjects[0]))
+                time += 220.milliseconds
+            }
+            crash(setOf(subjects[0]))
+            settle()
+            assertEquals(emptySet(), analysis.causes())
+        }
+
+        @Test
+        fun `are found among those of a target that has all the load`() {
+            repeat(3) { number ->
+                val bystanders = List(60) { setOf(Fingerprint(1_000L * (number + 1) + it)) }
+                crash(*bystanders.toTypedArray(), setOf(cause))
+                time += 1.seconds
+            }
+            settle()
+            assertEquals(setOf(setOf(cause)), analysis.causes())
+        }
+    }
+
     @Nested
     inner class Crashes {
         @Test
