Show retries beyond the limit after a loss of controllers beside a cut

Four forwarders that reach no controller still divide the slack by eight; the four that restart with all controllers divide it by four, because the controllers' memory of names is lost with them. Errors begin 25 s later, when unused retries have grown.

--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/RetryLimitOfFleetTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/RetryLimitOfFleetTest.kt
@@ -102,6 +102,20 @@
             run(20.seconds)
         }
 
+        @Test
+        fun `when all controllers are lost while some forwarders are cut off`() = assertKept {
+            val cutOff = forwarders.shuffled(random).take(4).toSet()
+            cutOff.forEach { it.unreachable += controllers }
+            run(5.seconds)
+            controllers.forEach { it.stop() }
+            (forwarders - cutOff).forEach { it.restart(pause()) }
+            run(pause())
+            controllers.forEach { it.isUp = true }
+            run(25.seconds)
+            errorShare = 1.0
+            run(15.seconds)
+        }
+
         @Test
         fun `when the core is cut and two lead`() = assertKept {
             val half = forwarders.shuffled(random).take(4)
