--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.forwarding.DiscoveredTarget
@@ -188,6 +189,7 @@
         var uses: Map<TargetName, TargetUse> = emptyMap()
         var reportedAt: ComparableTimeMark? = null
         private var sentLoad: FleetLoad? = null
+        private var loadSentAt = time.markNow()
         var demand: Map<ServiceName, Double> = emptyMap()
         val unsentPrompts = SentPromptQueue()
         val unsentRates = StatedRateQueue(time)
@@ -196,8 +198,10 @@
             reportedAt.let { it != null && now - it < REPORT_LIFETIME }
 
         fun send(load: FleetLoad) {
-            if (load == sentLoad && unsentPrompts.isEmpty && unsentRates.isEmpty) return
+            val isKnown = load == sentLoad && loadSentAt.elapsedNow() < LOAD_RESEND_INTERVAL
+            if (isKnown && unsentPrompts.isEmpty && unsentRates.isEmpty) return
             sentLoad = load
+            loadSentAt = time.markNow()
             session.send(load.copy(prompts = unsentPrompts.take(), rates = unsentRates.take()))
         }
 
@@ -294,6 +298,9 @@
         /** Placement tolerates loads of this age; halving it doubles the control traffic. */
         val LOAD_INTERVAL = 250.milliseconds
 
+        /** Entries take the count of entries as unknown if they do not hear it for some seconds. */
+        val LOAD_RESEND_INTERVAL = 2.seconds
+
         /** Loads that an entry reported longer ago are ignored. */
         val REPORT_LIFETIME = 2_000.milliseconds
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
@@ -181,6 +181,17 @@
             assertEquals(3, seen.entries)
             assertEquals(listOf(TargetUse(target, 5, 150)), seen.uses)
         }
+
+        @Test
+        fun `that do not change are sent again every two seconds`() {
+            time += 3.seconds
+            repeat(24) {
+                entries.forEach { feed.report(it, EntryLoad(emptyList())) }
+                advanceInterval()
+            }
+            assertEquals(3, entries[0].loads.size)
+            assertEquals(listOf(3, 3, 3), entries[0].loads.map { it.entries })
+        }
     }
 
     /** Guards against a count that lacks entries, which would use more than their shares. */
