Read the fleet key again that is incomplete or missing at the start

A process whose key file was being written ended with exit code 1. Same cause as for the settings file, found by the reviewer: a resource that a start acquires once. It is now read every 0.1 s for 5 s, with a log line, and SIGTERM ends the wait; both files share one loop. FailedStartTest, 'that is empty at the start is read again', failed before and passes, as do SettingsFileTest and StartSignalTest.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -1,8 +1,8 @@
 package org.hibiscusproxy.daemon.command
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.mapBoth
 import java.nio.file.Path
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -57,7 +57,7 @@
     }
 
     private fun run(settings: Settings, settingsFile: SettingsFile, factory: FleetProcessFactory) {
-        val process = factory.create().getOrElse(::endAfterFailedStart)
+        val process = create(factory)
         start(factory, process)?.let(::endAfterFailedStart)
         if (signals.end.cause == null) {
             signals.phase = ProcessPhase.RUNNING
@@ -69,20 +69,40 @@
         end(if (cause is EndCause.Signalled) code else ExitCode.REFUSED, cause.text)
     }
 
-    /** Reads the settings; for a limited time again while the file is missing or incomplete. */
-    private fun readSettings(settingsFile: SettingsFile): Settings {
+    private fun readSettings(settingsFile: SettingsFile): Settings =
+        awaitComplete("Settings are", settingsFile::read, { it.isIncomplete }) {
+            it.first().describe()
+        }.getOrElse { faults ->
+            faults.forEach { System.err.println("$file: ${it.describe()}") }
+            end(ExitCode.USAGE, "invalid settings")
+        }
+
+    private fun create(factory: FleetProcessFactory): FleetProcess =
+        awaitComplete("The fleet key is", factory::create, { it is StartFailure.BadKey }) {
+            it.message
+        }.getOrElse(::endAfterFailedStart)
+
+    /** Reads a file; for a limited time again while it is missing or incomplete. */
+    private fun <T, F> awaitComplete(
+        subject: String,
+        read: () -> Result<T, F>,
+        isIncomplete: (F) -> Boolean,
+        describe: (F) -> String,
+    ): Result<T, F> {
         val startedAt = TimeSource.Monotonic.markNow()
         var isLogged = false
         while (true) {
-            val faults = settingsFile.read().mapBoth({ return it }, { it })
-            if (!faults.isIncomplete || startedAt.elapsedNow() > INCOMPLETE_LIMIT) {
-                faults.forEach { System.err.println("$file: ${it.describe()}") }
-                end(ExitCode.USAGE, "invalid settings")
-            }
+            val result = read()
+            val failure = result.getError() ?: return result
+            if (!isIncomplete(failure) || startedAt.elapsedNow() > INCOMPLETE_LIMIT) return result
             if (!isLogged) {
-                val fault = faults.first().describe()
-                val limit = INCOMPLETE_LIMIT
-                logger.warn("process: Settings are incomplete, waiting for {}. {}", limit, fault)
+                val cause = describe(failure)
+                logger.warn(
+                    "process: {} incomplete, waiting for {}. {}",
+                    subject,
+                    INCOMPLETE_LIMIT,
+                    cause,
+                )
                 isLogged = true
             }
             val cause = signals.end.await(INCOMPLETE_RETRY_MILLISECONDS) ?: continue
@@ -120,7 +140,7 @@
     }
 
     private companion object {
-        /** Far longer than a settings file is being written. */
+        /** Far longer than a file is being written. */
         val INCOMPLETE_LIMIT = 5.seconds
         const val INCOMPLETE_RETRY_MILLISECONDS = 100L
         val logger = LoggerFactory.getLogger(RunCommand::class.java)
