Answer a pipelined request whose reading throws

Queued requests are read within a step of the request before them, whose guard did not answer them, so that their callers waited until the idle timeout. ExchangeFailureTest, 'while a pipelined request is read is answered as not run', failed before and passes with the five others.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -226,7 +226,14 @@
     }
 
     private fun readQueuedMessages() {
-        while (exchange == null && queuedMessages.isNotEmpty()) read(queuedMessages.removeFirst())
+        try {
+            while (exchange == null && queuedMessages.isNotEmpty()) {
+                read(queuedMessages.removeFirst())
+            }
+        } catch (failure: Throwable) {
+            // The caller is a step of the earlier request, whose guard would not answer this one.
+            endAfter(failure)
+        }
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -246,10 +253,13 @@
     }
 
     @Deprecated("Overrides a deprecated Netty method that is called on connection errors")
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = endAfter(cause)
+
+    /** Answers the request in progress or being read, and closes the connection if it failed. */
+    private fun endAfter(cause: Throwable) {
         val current = exchange
         when {
-            cause is IOException || isClosing -> context.close()
+            cause is IOException || isClosing -> channel.close()
 
             current != null -> current.onStepFailed(cause)
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeFailureTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeFailureTest.kt
@@ -34,8 +34,12 @@
     private class FaultyWireFormat(private val step: Step) : PlainWireFormat() {
         private fun failAt(current: Step) = check(current != step) { "fault of the test at $step" }
 
+        private var requests = 0
+
         override fun readRequest(headers: HttpHeaders): RequestMetadata {
+            requests += 1
             failAt(Step.READ_REQUEST)
+            if (requests == 2) failAt(Step.READ_SECOND_REQUEST)
             return super.readRequest(headers)
         }
 
@@ -50,7 +54,13 @@
         override fun removeConnectionHeaders(headers: HttpHeaders) = failAt(Step.WRITE_RESPONSE)
     }
 
-    private enum class Step { READ_REQUEST, WRITE_TARGET_HEADERS, READ_RESPONSE, WRITE_RESPONSE }
+    private enum class Step {
+        READ_REQUEST,
+        READ_SECOND_REQUEST,
+        WRITE_TARGET_HEADERS,
+        READ_RESPONSE,
+        WRITE_RESPONSE,
+    }
 
     private object NoControllers : ControllerLink {
         override fun sendToAll(message: ControlMessage) = Unit
@@ -75,7 +85,11 @@
         target.stop(0)
     }
 
-    private fun answer(step: Step, kind: RequestKind = RequestKind.SAFE): String {
+    private fun answer(
+        step: Step,
+        kind: RequestKind = RequestKind.SAFE,
+        connectionHeaders: List<String> = listOf("close"),
+    ): String {
         val loop = group.next()
         val settings = ForwarderSettings(ANY_PORT, ANY_PORT, targetList = ANY_PORT)
         val wire = FaultyWireFormat(step)
@@ -85,9 +99,11 @@
         loop.submit { receiveRouting(node, kind) }.get()
         return Socket(callers.host, callers.port).use { caller ->
             caller.soTimeout = ANSWER_MILLISECONDS
-            val request = "POST / HTTP/1.1\r\nHost: calls.example\r\nX-Request-Id: request\r\n" +
-                "X-Deadline-Ms: 9000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-            caller.getOutputStream().write(request.encodeToByteArray())
+            val requests = connectionHeaders.joinToString("") { connection ->
+                "POST / HTTP/1.1\r\nHost: calls.example\r\nX-Request-Id: request\r\n" +
+                    "X-Deadline-Ms: 9000\r\nConnection: $connection\r\nContent-Length: 0\r\n\r\n"
+            }
+            caller.getOutputStream().write(requests.encodeToByteArray())
             try {
                 caller.getInputStream().readAllBytes().decodeToString()
             } catch (_: SocketTimeoutException) {
@@ -121,6 +137,14 @@
         fun `while the request is read is answered as not run`() =
             assertContains(answer(Step.READ_REQUEST), "not-run")
 
+        @Test
+        fun `while a pipelined request is read is answered as not run`() {
+            val connections = listOf("keep-alive", "close")
+            val answers = answer(Step.READ_SECOND_REQUEST, connectionHeaders = connections)
+            assertContains(answers, BODY)
+            assertContains(answers, "not-run")
+        }
+
         @Test
         fun `before the request is sent to a target is answered as not run`() =
             assertContains(answer(Step.WRITE_TARGET_HEADERS), "not-run")
