Keep a SIGHUP that arrives at the end of a wait for it

A request to reload between the end of a wait and the reset of the requests was dropped; found by the reviewer by reading, without a test, since the window is between two statements. Requests are reset only after one was taken. Beside it, a condition in EntryLog is laid out on one line.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/ProcessSignals.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/ProcessSignals.kt
@@ -45,9 +45,9 @@
      * whether one is. Requests that were made meanwhile count as one.
      */
     fun awaitReload(milliseconds: Long): Boolean {
-        val isRequested = reloads.tryAcquire(milliseconds, TimeUnit.MILLISECONDS)
+        if (!reloads.tryAcquire(milliseconds, TimeUnit.MILLISECONDS)) return false
         reloads.drainPermits()
-        return isRequested
+        return true
     }
 
     /** Logs the signals from now on, and those received before. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/EntryLog.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/consensus/EntryLog.kt
@@ -74,13 +74,8 @@
     /** Size of the entries after [first] up to [last], which are not discarded. */
     fun bytesBetween(first: Long, last: Long): Long = endOf(last) - endOf(first)
 
-    private fun endOf(index: Long): Long = if (index ==
-        baseIndex
-    ) {
-        baseEnd
-    } else {
-        ends[position(index)]
-    }
+    private fun endOf(index: Long): Long =
+        if (index == baseIndex) baseEnd else ends[position(index)]
 
     /** Number of entries up to [last], at most [maximumEntries] with at most [maximumBytes]. */
     fun trailing(last: Long, maximumEntries: Int, maximumBytes: Long): Int {
