Find no cause before bystanders can be answered

Callers saw: a sound request that comes often was refused for ten minutes, and the crashing one was sent on, since its crashes counted as explained. Cause: when all of few targets end within a second, a frequent request is by chance a suspect of one more crash than the cause, and nothing could be answered in between.

Change: a cause that was not known before has to have crashed targets over at least the time in which answers are reported. Until then its suspects are refused for seconds; a narrower refusal replaces those that it covers. The test "of more crashes than others are no causes before the others can be answered" failed before: expected [] but was [[a]].

--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CrashAnalysis.kt
@@ -117,7 +117,8 @@
             val required = requiredCrashes(fingerprint, own, refused)
             if (weights.getValue(fingerprint) < required) continue
             val isKnown = setOf(fingerprint) in refused
-            if (occasions(own) < minOf(required, MOMENTS_OF_CAUSE)) continue
+            // Bystanders of crashes within a shorter time had no chance to be answered.
+            if (!isKnown && own.last().at - own.first().at < ANSWER_REPORT_TIME) continue
             if (!isKnown && own.first().at.elapsedNow() < ANSWER_REPORT_TIME) continue
             val cause = mostSpecificCause(fingerprint, own, required)
             val explained = own.filter { it.isExplainedBy(listOf(cause)) }
@@ -246,9 +247,6 @@
         /** Crashes at different moments from which a suspect is treated as the cause. */
         private const val CRASHES_OF_UNKNOWN_CAUSE = 3
 
-        /** Different moments of these, since targets that end at one may share another cause. */
-        private const val MOMENTS_OF_CAUSE = 2
-
         /** The same for a part that most of the suspects have. */
         private const val CRASHES_OF_COMMON_PART = 6
         private const val MINIMUM_SUSPECTS_OF_COMMON_PART = 8
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ProvisionalRefusals.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ProvisionalRefusals.kt
@@ -19,7 +19,9 @@
 
     /** Remaining times of the refusals in force. */
     val active: Map<Set<Fingerprint>, Duration>
-        get() = refusals.mapValues { -it.value.end.elapsedNow() }.filterValues { it.isPositive() }
+        get() = refusals.filterKeys { !isCovered(it) }
+            .mapValues { -it.value.end.elapsedNow() }
+            .filterValues { it.isPositive() }
 
     /**
      * Refuses those of [undecided] that crashed targets since their last refusal.
@@ -44,6 +46,11 @@
         return added > 0
     }
 
+    /** Whether a refusal in force of fewer fingerprints covers [cause]. */
+    private fun isCovered(cause: Set<Fingerprint>): Boolean = refusals.any { (other, refusal) ->
+        other.size < cause.size && cause.containsAll(other) && !refusal.end.hasPassedNow()
+    }
+
     private class Refusal(val crashes: Int, val duration: Duration, val end: ComparableTimeMark)
 
     companion object {
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashAnalysisTest.kt
@@ -165,6 +165,17 @@
             assertEquals(emptyMap(), analysis.undecidedCauses(emptySet()))
         }
 
+        @Test
+        fun `of more crashes than others are no causes before the others can be answered`() {
+            repeat(3) {
+                crash(setOf(cause), setOf(subjects[0]))
+                time += 220.milliseconds
+            }
+            crash(setOf(subjects[0]))
+            settle()
+            assertEquals(emptySet(), analysis.causes())
+        }
+
         @Test
         fun `are found among those of a target that has all the load`() {
             repeat(3) { number ->
