Let suspects of crashes through one at a time after their refusal

Callers saw: after a refusal of seconds, a crashing request was let through by all forwarders whose refusal had ended, several times before the next crash was known; sound suspects stayed refused for as long as the cause. Ruled out: a longer spread of the ends alone, since four copies at once find four forwarders open.

Change: a refusal of seconds is followed by a trial. Each forwarder lets a quarter of such requests through, one a second at most, until one is answered, which lifts the refusal everywhere, or crashes a target, which renews it. RefusalList has a new optional field for the trial; forwarders of an older build ignore it.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/CrashService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/CrashService.kt
@@ -95,9 +95,12 @@
     }
 
     private fun refuseProvisionally() {
-        if (isProposed || !provisional.update(analysis.undecidedCauses(causes()))) return
-        LOG.info("controller: refused until they can be told apart: {}", provisional.active)
-        broadcast(refusalList())
+        val isLifted = provisional.lift(analysis::hasSurvivedAnswer)
+        val isAdded = !isProposed && provisional.update(analysis.undecidedCauses(causes()))
+        if (isAdded) {
+            LOG.info("controller: refused until they can be told apart: {}", provisional.active)
+        }
+        if (isLifted || isAdded) broadcast(refusalList())
     }
 
     private fun logUndecided() {
@@ -132,7 +135,7 @@
     private fun suspects(): Map<Fingerprint, Duration> {
         val refused = refusals.filter { it.fingerprints.size > 1 }
             .flatMap { refusal -> refusal.fingerprints.map { it to refusal.age } }
-        return refused.toMap() + analysis.suspects()
+        return refused.toMap() + provisional.suspects + analysis.suspects()
     }
 
     private fun suspectList() = CrashSuspects(
@@ -140,9 +143,9 @@
     )
 
     private fun refusalList(): RefusalList {
-        val remaining =
-            provisional.active + refusals.associate { it.fingerprints to it.remaining }
-        return RefusalList(remaining.map { Refusal(it.key, it.value.inWholeMilliseconds) })
+        val known = causes()
+        val found = refusals.map { Refusal(it.fingerprints, it.remaining.inWholeMilliseconds) }
+        return RefusalList(provisional.announced.filter { it.fingerprints !in known } + found)
     }
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/AttemptEvidence.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/AttemptEvidence.kt
@@ -38,6 +38,8 @@
         val begunAt = answeredAt ?: return
         if (hasSurvived) return
         hasSurvived = true
+        val refusals = exchange.node.refusals
+        if (!refusals.isEmpty) refusals.recordSurvivedAnswer(exchange.fingerprints.all)
         val observer = exchange.node.crashes
         observer.recordSurvivedAnswer(exchange.fingerprints.parts, begunAt)
         if (observer.hasSuspects) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -145,7 +145,7 @@
     }
 
     private fun sendToTarget() {
-        refusalTime()?.let { return completeWithError(FinalReason.CRASHES_TARGETS, it) }
+        fingerprints.admit()?.let { return completeWithError(FinalReason.CRASHES_TARGETS, it) }
         val currentRoute = checkNotNull(route) { "request has no route" }
         val request = PlacementRequest(
             service = checkNotNull(service) { "request has no service" },
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestFingerprints.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestFingerprints.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.daemon.forwarding
 
 import io.netty.buffer.ByteBufUtil
+import kotlin.time.Duration
 import org.hibiscusproxy.admission.Fingerprints
 import org.hibiscusproxy.protocol.Fingerprint
 
@@ -25,5 +26,12 @@
             .mapTo(LinkedHashSet()) { Fingerprints.ofPromptPart(it.identifier) }
     }
 
+    /** All of them; that of the whole request is the last. */
     val all: Set<Fingerprint> by lazy(LazyThreadSafetyMode.NONE) { parts + request }
+
+    /** Time for which the request is refused before it is sent to a target; null if it is not. */
+    fun admit(): Duration? {
+        val refusals = exchange.node.refusals
+        return if (refusals.isEmpty) null else refusals.admit(all)
+    }
 }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CrashServiceTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CrashServiceTest.kt
@@ -11,6 +11,7 @@
 import org.hibiscusproxy.protocol.CrashSuspects
 import org.hibiscusproxy.protocol.Fingerprint
 import org.hibiscusproxy.protocol.ObservedCrash
+import org.hibiscusproxy.protocol.Refusal
 import org.hibiscusproxy.protocol.RefusalList
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.SurvivedAnswer
@@ -61,6 +62,27 @@
             assertTrue(longest <= 6_000, "$longest ms")
         }
 
+        @Test
+        fun `are followed by a trial until the request is answered`() {
+            repeat(3) { number ->
+                val requests = listOf(setOf(part), setOf(base))
+                val crash = ObservedCrash(TargetName("target-$number"), 0, requests)
+                fixture.deliver(entries[number], CrashEvidence(listOf(crash), emptyList()))
+            }
+            fixture.elapse(12.seconds)
+            val survived = CrashEvidence(emptyList(), listOf(SurvivedAnswer(base, 300)))
+            fixture.deliver(entries[1], survived)
+            fixture.elapse(200.milliseconds)
+            val last = entries[0].received.filterIsInstance<RefusalList>().last().refusals
+            assertEquals(listOf(Refusal(setOf(base), 0)), last.filter { base in it.fingerprints })
+            val trial = last.single { part in it.fingerprints }
+            assertTrue(trial.remainingMilliseconds == 0L && trial.trialMilliseconds > 0, "$trial")
+            val restarted = fixture.session("entry-1", incarnation = 2)
+            val messages = fixture.deliver(restarted, RoutingRequest(0))
+            val announced = messages.filterIsInstance<RefusalList>().flatMap { it.refusals }
+            assertTrue(announced.any { part in it.fingerprints && it.trialMilliseconds > 0 })
+        }
+
         @Test
         fun `are the first message to a forwarder that connects`() {
             repeat(3) { number ->
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/CrashMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/CrashMessages.kt
@@ -8,7 +8,8 @@
  * A target that ended while it answered, as seen by one entry.
  *
  * @property ageMilliseconds time since it ended
- * @property suspects requests that it had just begun to answer, each with its fingerprints
+ * @property suspects requests that it had just begun to answer, each with its fingerprints, that of
+ *   the whole request as the last
  */
 @Serializable
 data class ObservedCrash(
@@ -52,14 +53,20 @@
 @SerialName("xs")
 data class CrashSuspects(@SerialName("f") val suspects: List<Suspect>) : ControlMessage()
 
-/** Requests that have all [fingerprints] are refused for [remainingMilliseconds]. */
+/**
+ * Requests that have all [fingerprints] are refused for [remainingMilliseconds].
+ *
+ * @property trialMilliseconds time after that in which each forwarder sends on one such request at a
+ *   time. If both times are 0, an earlier refusal with a trial is lifted
+ */
 @Serializable
 data class Refusal(
     @SerialName("f") val fingerprints: Set<Fingerprint>,
     @SerialName("m") val remainingMilliseconds: Long,
+    @SerialName("t") val trialMilliseconds: Long = 0,
 )
 
-/** All requests that are refused, because they crash targets. */
+/** All requests that are refused, because they crash targets, or may be sent on one at a time. */
 @Serializable
 @SerialName("xl")
 data class RefusalList(@SerialName("f") val refusals: List<Refusal>) : ControlMessage()
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CrashSimulation.kt
@@ -20,12 +20,16 @@
  * to another one, and callers repeat whole requests that failed.
  *
  * @param restartMilliseconds time for which an engine is gone after it ended
+ * @param copies number of times that a request which crashes engines comes at the same moment
+ * @param reportMilliseconds time after which an entry notices that an engine has ended
  */
 internal class CrashSimulation(
     seed: Int,
     private val engines: Int = 6,
     private val restartMilliseconds: IntRange = 1_500..5_000,
     private val kind: Kind = Kind.PARTS,
+    private val copies: Int = 1,
+    private val reportMilliseconds: IntRange = 50..51,
 ) {
     /** What crashes engines. */
     enum class Kind {
@@ -79,7 +83,12 @@
                 if (isBefore()) arrive(workload.causePrompt())
             }
         }
-        after(causeStart) { every(milliseconds(200..700)) { arrive(workload.causePrompt()) } }
+        after(causeStart) {
+            every(if (copies == 1) milliseconds(200..700) else COPIES_INTERVAL) {
+                val prompt = workload.causePrompt()
+                repeat(copies) { arrive(prompt) }
+            }
+        }
         entries.forEach { entry -> every(250.milliseconds) { entry.report() } }
         every(100.milliseconds) { decide() }
         repeat(random.nextInt(0, 4)) { after(milliseconds(500..LENGTH_MILLISECONDS)) { disturb() } }
@@ -99,7 +108,7 @@
         send(entries.random(random), parts, repeats, isSecondTry = false)
 
     private fun send(entry: Entry, parts: List<Fingerprint>, repeats: Int, isSecondTry: Boolean) {
-        val isRefused = entry.refused.remaining(parts) != null
+        val isRefused = entry.refused.admit(parts) != null
         record.arrived(parts, isRefused)
         if (isRefused) return
         if (isSecondTry && !entry.observer.maySendAgain(parts.last())) return repeat(parts, repeats)
@@ -152,20 +161,20 @@
         analysis.explain(refused.keys)
         analysis.causes(refused.keys).forEach { refused[it] = time.markNow() }
         narrow(analysis)
+        provisional.lift(analysis::hasSurvivedAnswer)
         provisional.update(analysis.undecidedCauses(refused.keys))
         val ambiguous = refused.filterKeys { it.size > 1 }
             .flatMap { (cause, at) -> cause.map { it to at.elapsedNow() } }
         val suspects = CrashSuspects(
-            (ambiguous.toMap() + analysis.suspects())
+            (ambiguous.toMap() + provisional.suspects + analysis.suspects())
                 .map { Suspect(it.key, it.value.inWholeMilliseconds) },
         )
-        val remaining = provisional.active + refused.mapValues { REFUSAL_TIME }
+        val refusals = provisional.announced +
+            refused.keys.map { Refusal(it, REFUSAL_TIME.inWholeMilliseconds) }
         entries.forEach { entry ->
             after(milliseconds(2..60)) {
                 if (entry.isCutOff) return@after
-                entry.refused.add(
-                    RefusalList(remaining.map { Refusal(it.key, it.value.inWholeMilliseconds) }),
-                )
+                entry.refused.add(RefusalList(refusals))
                 entry.observer.updateSuspects(suspects)
             }
         }
@@ -252,6 +261,7 @@
                 val begunAt = answer.begunAt ?: return@after
                 if (own == incarnation) {
                     answer.entry.observer.recordSurvivedAnswer(answer.parts, begunAt)
+                    answer.entry.refused.recordSurvivedAnswer(answer.parts)
                 }
             }
             after(length) { answers -= answer }
@@ -279,7 +289,7 @@
                 val suspects = broken.mapNotNull { suspect(it) }
                 val observer = entry.observer
                 if (suspects.isNotEmpty()) {
-                    after(50.milliseconds) {
+                    after(milliseconds(reportMilliseconds)) {
                         observer.recordCrash(name, suspects.distinct())
                         if (observer === entry.observer) entry.report()
                     }
@@ -302,10 +312,25 @@
         private const val REPEATS = 3
         private const val LENGTH_MILLISECONDS = 40_000
 
+        /** Time between the copies of a request and the next ones, as of a client that comes again. */
+        private val COPIES_INTERVAL = 2_000.milliseconds
+
         /** Runs [seeds] simulations; returns the broken bounds, one a line, and prints refusals. */
-        fun violations(seeds: Int, engines: Int, kind: Kind): String {
+        fun violations(
+            seeds: Int,
+            engines: Int,
+            kind: Kind,
+            copies: Int = 1,
+            reportMilliseconds: IntRange = 50..51,
+        ): String {
             val simulations = (1..seeds).associateWith { seed ->
-                CrashSimulation(seed, engines, kind = kind).apply { run() }
+                CrashSimulation(
+                    seed,
+                    engines,
+                    kind = kind,
+                    copies = copies,
+                    reportMilliseconds = reportMilliseconds,
+                ).apply { run() }
             }
             val refused = simulations.values.sumOf { it.record.soundRefused }
             val late = simulations.values.sumOf { it.record.soundLate }
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/ProvisionalRefusalsTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/ProvisionalRefusalsTest.kt
@@ -9,6 +9,7 @@
 import kotlin.time.TestTimeSource
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.Fingerprint
+import org.hibiscusproxy.protocol.Refusal
 import org.junit.jupiter.api.Nested
 
 class ProvisionalRefusalsTest {
@@ -48,6 +49,37 @@
         }
     }
 
+    @Nested
+    inner class Trials {
+        @Test
+        fun `follow refusals`() {
+            refusals.update(mapOf(first to 3))
+            time += 8.seconds
+            assertEquals(listOf(Refusal(first, 0, 57_000)), refusals.announced)
+            assertEquals(mapOf(Fingerprint(1) to 8.seconds), refusals.suspects)
+        }
+
+        @Test
+        fun `end when the request is answered`() {
+            refusals.update(mapOf(first to 3, second to 3))
+            time += 8.seconds
+            assertTrue(refusals.lift { fingerprint, _ -> fingerprint in first })
+            assertFalse(refusals.lift { fingerprint, _ -> fingerprint in first })
+            assertEquals(
+                listOf(Refusal(first, 0), Refusal(second, 0, 57_700)),
+                refusals.announced,
+            )
+        }
+
+        @Test
+        fun `end when the request crashes another target`() {
+            refusals.update(mapOf(first to 3))
+            time += 8.seconds
+            assertTrue(refusals.update(mapOf(first to 4)))
+            assertEquals(listOf(Refusal(first, 10_000, 60_000)), refusals.announced)
+        }
+    }
+
     @Nested
     inner class UndecidedCauses {
         private val analysis = CrashAnalysis(time)
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/RefusedRequestsTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/RefusedRequestsTest.kt
@@ -5,6 +5,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
+import kotlin.test.fail
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -68,4 +69,85 @@
             assertEquals(null, refused.remaining(cause))
         }
     }
+
+    @Nested
+    inner class Trials {
+        private val refused = refused(seed = 1)
+
+        private fun announce(remaining: Duration, trial: Duration) = refused.add(
+            RefusalList(
+                listOf(Refusal(cause, remaining.inWholeMilliseconds, trial.inWholeMilliseconds)),
+            ),
+        )
+
+        private fun beginTrial() {
+            announce(5.seconds, 60.seconds)
+            time += 11.seconds
+        }
+
+        /** Lets such a request come every second until one is let through. */
+        private fun awaitAdmission() {
+            repeat(30) {
+                if (refused.admit(cause) == null) return
+                time += 1.seconds
+            }
+            fail("no request was let through")
+        }
+
+        @Test
+        fun `let one request through at a time`() {
+            beginTrial()
+            repeat(3) {
+                awaitAdmission()
+                assertEquals(1.seconds, refused.admit(cause))
+                assertEquals(null, refused.admit(setOf(Fingerprint(2))))
+                time += 1.seconds
+            }
+        }
+
+        @Test
+        fun `let few of the requests through that come at all forwarders at once`() {
+            val forwarders = List(100) { refused(seed = it) }
+            val trial = RefusalList(listOf(Refusal(cause, 0, 60_000)))
+            forwarders.forEach { it.add(trial) }
+            time += 6.seconds
+            val admitted = forwarders.count { it.admit(cause) == null }
+            assertTrue(admitted in 10..40, "$admitted of 100")
+        }
+
+        @Test
+        fun `let all requests through after one was answered well`() {
+            beginTrial()
+            refused.recordSurvivedAnswer(cause + Fingerprint(2))
+            repeat(3) { assertEquals(null, refused.admit(cause)) }
+        }
+
+        @Test
+        fun `end when the refusal is lifted`() {
+            announce(5.seconds, 60.seconds)
+            announce(Duration.ZERO, Duration.ZERO)
+            repeat(3) { assertEquals(null, refused.admit(cause)) }
+        }
+
+        @Test
+        fun `begin no other refusal when they are announced again`() {
+            beginTrial()
+            announce(Duration.ZERO, 54.seconds)
+            assertEquals(null, refused.remaining(cause))
+        }
+
+        @Test
+        fun `end with the next refusal`() {
+            beginTrial()
+            announce(10.seconds, 60.seconds)
+            assertTrue(assertNotNull(refused.admit(cause)) >= 10.seconds)
+        }
+
+        @Test
+        fun `do not lift the refusal of a found cause`() {
+            announce(600.seconds, Duration.ZERO)
+            announce(Duration.ZERO, Duration.ZERO)
+            assertNotNull(refused.admit(cause))
+        }
+    }
 }
