--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -144,10 +144,10 @@
     }
 
     private fun sendToTarget() {
-        refusalTime()?.let { return completeWithError(FinalReason.CRASHES_TARGETS, it) }
         if (!remaining.isPositive()) {
             return completeWithError(FinalReason.TIMEOUT, ErrorResponses.BUSY_RETRY_AFTER)
         }
+        fingerprints.admit()?.let { return completeWithError(FinalReason.CRASHES_TARGETS, it) }
         val currentRoute = checkNotNull(route) { "request has no route" }
         val request = PlacementRequest(
             service = checkNotNull(service) { "request has no service" },
