--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ForwarderFixture.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ForwarderFixture.kt
@@ -5,6 +5,8 @@
 import io.netty.channel.nio.NioIoHandler
 import java.net.Socket
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.TestTimeSource
 import kotlin.time.TimeSource
 import org.hibiscusproxy.daemon.settings.ForwarderSettings
 import org.hibiscusproxy.forwarding.DiscoveredTarget
@@ -87,6 +89,12 @@
         node.updateFleetLoad(FleetLoad(1, emptyList()))
     }
 
+    /** Lets [duration] pass, during which a leader reports that there is one forwarder. */
+    fun pass(time: TestTimeSource, duration: Duration) = onLoop {
+        time += duration
+        node.updateFleetLoad(FleetLoad(1, emptyList()))
+    }
+
     fun <T> onLoop(block: () -> T): T = loop.submit(block).get()
 
     fun connect() = Socket(callers.host, callers.port).also { it.soTimeout = 10_000 }
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/HandedOnDeadlineTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/HandedOnDeadlineTest.kt
@@ -57,7 +57,7 @@
     }
 
     /** Stands for time in which the forwarder waits or its process stands still. */
-    private fun pass(duration: Duration) = fixture.onLoop { time += duration }
+    private fun pass(duration: Duration) = fixture.pass(time, duration)
 
     /** Sends a request whose body ends [duration] after its head; returns the status line. */
     private fun sendSlowly(identifier: String, duration: Duration): String =
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/TargetLimitsTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/TargetLimitsTest.kt
@@ -108,7 +108,7 @@
             maximumTargets = maximumTargets,
         )
         repeat(60) {
-            fixture.onLoop { time += 10.seconds }
+            fixture.pass(time, 10.seconds)
             fixture.exchange("$kind-$maximumTargets-$it")
         }
         return runs.groupingBy { it }.eachCount().values.max()
