--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/HeldResource.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/HeldResource.kt
@@ -60,14 +60,8 @@
         result = open()
         last = cause(result)
     }
-    LOG.info(
-        "{}: {} after {}",
-        resource,
-        last?.let {
-            "given up"
-        } ?: "solved",
-        startedAt.elapsedNow(),
-    )
+    val ending = if (last == null) "solved" else "given up"
+    LOG.info("{}: {} after {}", resource, ending, startedAt.elapsedNow())
     return result
 }
 
