--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/RoutingTable.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/RoutingTable.kt
@@ -4,6 +4,7 @@
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.protocol.Payload
+import org.hibiscusproxy.rollout.Rollout
 
 /**
  * Routing state stored by the controllers.
@@ -11,6 +12,7 @@
  * @property revision incremented by each effective change; processes never return to a lower one
  * @property document the configuration as its author sent it, returned on read
  * @property drained data centres whose targets get no new work
+ * @property rollouts the latest rollout of each service
  */
 @Serializable
 data class RoutingState(
@@ -18,6 +20,7 @@
     val configuration: RoutingConfiguration? = null,
     val document: Payload? = null,
     val drained: Set<DataCenterName> = emptySet(),
+    val rollouts: List<Rollout> = emptyList(),
 )
 
 /**
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -11,6 +11,8 @@
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.rollout.Rollout
+import org.hibiscusproxy.rollout.VersionEvidence
 
 /** Subscribes a forwarder to routing updates, or requests updates that it lacks. */
 @Serializable
@@ -24,9 +26,13 @@
     @SerialName("v") val revision: Long,
     @SerialName("c") val configuration: RoutingConfiguration?,
     @SerialName("e") val drained: Set<DataCenterName>,
+    @SerialName("o") val rollouts: List<Rollout> = emptyList(),
 ) : ControlMessage()
 
-/** Incremental update from [base] to [revision]; [difference] is null if only drains changed. */
+/**
+ * Incremental update from [base] to [revision]; [difference] is null if only drains or rollouts
+ * changed.
+ */
 @Serializable
 @SerialName("fd")
 data class RoutingChange(
@@ -34,6 +40,7 @@
     @SerialName("v") val revision: Long,
     @SerialName("d") val difference: RoutingDifference?,
     @SerialName("e") val drained: Set<DataCenterName>,
+    @SerialName("o") val rollouts: List<Rollout> = emptyList(),
 ) : ControlMessage()
 
 /**
@@ -105,6 +112,8 @@
  * cached
  * @property rates rates that targets stated since the last report and that differ from before
  * @property demand requests for services of which a target states a rate
+ * @property revision routing revision that the forwarder has applied; 0 if it does not tell
+ * @property evidence counts of running rollouts that changed since the last report
  */
 @Serializable
 @SerialName("fl")
@@ -113,6 +122,8 @@
     @SerialName("p") val prompts: List<SentPrompt> = emptyList(),
     @SerialName("r") val rates: List<TargetRate> = emptyList(),
     @SerialName("d") val demand: List<ServiceDemand> = emptyList(),
+    @SerialName("v") val revision: Long = 0,
+    @SerialName("e") val evidence: List<VersionEvidence> = emptyList(),
 ) : ControlMessage()
 
 /**
