Refuse statuses that HTTP does not define, and answers cut while the request is sent

A target in trouble sent an answer with the status 000, and forwarder and sidecar passed it on. The sidecar also took a part of an answer without a length for the whole: OkHttp reads an answer after a failed write, and the write had taken the error of the reset connection, so that the read ended regularly. Both now count as answers that were broken off; the request may have run.

The readers of lists parse JSON and take only a success.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -161,13 +161,15 @@
 
     private fun readHead(response: HttpResponse) {
         val currentListener = listener ?: return
-        val metadata = wire.readResponse(response.status().code(), response.headers())
+        val status = response.status().code()
+        if (status !in DEFINED_STATUSES) return reject("status $status is not defined")
+        val metadata = wire.readResponse(status, response.headers())
         val isOnlyAnswer = carried.count == 1 && !hasUnmatchedAnswer
         val unmatched = when {
             !isOnlyAnswer && StatusLineSearch.holdsAnother(response) -> SEVERAL_HEADS
             response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
                 return reject("target switches to another protocol")
-            response.status().code() in INFORMATIONAL_STATUSES -> return beginSkipping()
+            status in INFORMATIONAL_STATUSES -> return beginSkipping()
             else -> unmatchedReason(metadata.requestIdentifiers, isOnlyAnswer)
         }
         if (unmatched != null) return rejectUnmatched(unmatched, response, metadata)
@@ -300,6 +302,7 @@
     private companion object {
         /** Bytes of skipped responses after which a connection is closed. */
         const val MAXIMUM_SKIPPED_BYTES = 1_048_576L
+        val DEFINED_STATUSES = 100..599
         val INFORMATIONAL_STATUSES = 100..199
 
         /** Targets that close idle connections within a second do not state their timeout. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/SidecarAttempt.kt
@@ -26,6 +26,10 @@
     @Volatile
     var mayHaveRun = false
 
+    /** Set if the connection was lost before the target could read the whole request. */
+    @Volatile
+    var isRequestIncomplete = false
+
     /** Set if the final check before the first byte refused the attempt. */
     @Volatile
     var refusal: NotRunReason? = null
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetClient.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/sidecar/TargetClient.kt
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlinx.coroutines.runBlocking
+import okhttp3.Call
+import okhttp3.EventListener
 import okhttp3.Headers
 import okhttp3.HttpUrl.Companion.toHttpUrl
 import okhttp3.Interceptor
@@ -81,6 +83,7 @@
         .writeTimeout(0, TimeUnit.MILLISECONDS)
         .withoutConnectionReuse()
         .addNetworkInterceptor(::confirmAndProceed)
+        .eventListener(RequestFailureListener)
         .build()
 
     /** Runs the call for [attempt] on a pool thread and reports the result to [onOutcome]. */
@@ -172,6 +175,9 @@
     }
 
     private fun relay(attempt: SidecarAttempt, response: Response): CallOutcome {
+        if (response.code !in DEFINED_STATUSES) {
+            return CallOutcome.Broken(IOException("status ${response.code} is not defined"))
+        }
         val headers = response.endToEndHeaders() + targetHeader
         val head = ResponseHead(attempt.attempt, response.code, headers)
         if (!runBlocking {
@@ -208,6 +214,12 @@
         if (boundary != null && response.isInterrupted(boundary)) {
             return CallOutcome.Broken(IOException("stream ended within an event"))
         }
+        // The failed write took the connection's error, so that the reset reads as a regular end.
+        if (attempt.isRequestIncomplete && response.endsWithConnection) {
+            return CallOutcome.Broken(
+                IOException("connection lost while the request was being sent"),
+            )
+        }
         return CallOutcome.Complete(chunks)
     }
 
@@ -217,11 +229,15 @@
     /** Without an event, the end of the connection does not tell a whole stream from a broken one. */
     private fun Response.isInterrupted(boundary: EventBoundary): Boolean {
         if (boundary.isWithinEvent) return true
-        val isChunked = header(TRANSFER_ENCODING).equals("chunked", ignoreCase = true)
-        val endsWithConnection = header(CONTENT_LENGTH) == null && !isChunked
         return isSuccessful && endsWithConnection && !boundary.hasEvent
     }
 
+    private val Response.endsWithConnection: Boolean
+        get() {
+            val isChunked = header(TRANSFER_ENCODING).equals("chunked", ignoreCase = true)
+            return header(CONTENT_LENGTH) == null && !isChunked
+        }
+
     /**
      * OkHttp resends a request after a 503 with `Retry-After: 0`, whatever its settings, so the
      * header is renamed until OkHttp has returned the response.
@@ -249,6 +265,13 @@
             )
         }
 
+    /** Marks attempts whose request could not be sent completely; OkHttp then reads an answer. */
+    private object RequestFailureListener : EventListener() {
+        override fun requestFailed(call: Call, ioe: IOException) {
+            call.request().tag(SidecarAttempt::class.java)?.isRequestIncomplete = true
+        }
+    }
+
     private companion object {
         /** Names the target that answered, for support and measurements. */
         const val TARGET_HEADER = "X-Hibiscus-Target"
@@ -258,6 +281,7 @@
         const val TRANSFER_ENCODING = "Transfer-Encoding"
         const val EVENT_STREAM = "text/event-stream"
         const val HIDDEN_RETRY_AFTER = "X-Hibiscus-Hidden-Retry-After"
+        val DEFINED_STATUSES = 200..599
         const val MAXIMUM_THREADS = 512
         const val IDLE_THREAD_SECONDS = 10L
         const val STACK_BYTES = 262_144L
