Send slow repeatable requests to a second target within a limit

A few slow answers make up the tail of the latencies. A repeatable request whose answer has not begun by the time that 95 in 100 answers of its route take gets a second attempt; the first head that may be forwarded is the answer. Second attempts are limited by a share of the requests, with at most three saved up, by the retry limit of the fleet and by the route's number of targets.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -51,7 +51,8 @@
     private var service: ServiceName? = null
     private var timeout: Duration = Duration.INFINITE
     private var timeoutTask: ScheduledFuture<*>? = null
-    private var currentAttempt: TargetAttempt? = null
+    private val running = ExchangeAttempts()
+    private var secondAttempt: SecondAttempt? = null
     private var lastTarget: DiscoveredTarget? = null
     private var lastFraming: AnswerFraming? = null
     private var attempts = 0
@@ -120,7 +121,12 @@
     private fun begin(chosen: ServiceName) {
         service = chosen
         node.retryLimiter.recordRequest(chosen)
+        if (isRepeatable) {
+            node.hedging.recordRequest(chosen)
+            secondAttempt = route?.let { SecondAttempt(this, it) }
+        }
         sendToTarget()
+        if (attempts == 1) secondAttempt?.schedule()
     }
 
     private fun continueStream(binding: StreamBinding) = binding.findOrigin { origin ->
@@ -148,8 +154,16 @@
             return completeWithError(FinalReason.TIMEOUT, ErrorResponses.BUSY_RETRY_AFTER)
         }
         fingerprints.admit()?.let { return completeWithError(FinalReason.CRASHES_TARGETS, it) }
+        when (val choice = node.selector.choose(placementRequest())) {
+            is PlacementChoice.Chosen -> startAttempt(choice.target, choice.cachedAt)
+            is PlacementChoice.Refused ->
+                completeWithError(FinalReason.of(choice.reason), choice.retryAfter)
+        }
+    }
+
+    private fun placementRequest(): PlacementRequest {
         val currentRoute = checkNotNull(route) { "request has no route" }
-        val request = PlacementRequest(
+        return PlacementRequest(
             service = checkNotNull(service) { "request has no service" },
             prompt = metadata.prompt,
             objective = currentRoute.objectiveMilliseconds.milliseconds - arrivedAt.elapsedNow(),
@@ -157,11 +171,21 @@
             excluded = triedTargets,
             versions = stream?.versions ?: VersionChoice.Any,
         )
-        when (val choice = node.selector.choose(request)) {
-            is PlacementChoice.Chosen -> startAttempt(choice.target, choice.cachedAt)
-            is PlacementChoice.Refused ->
-                completeWithError(FinalReason.of(choice.reason), choice.retryAfter)
-        }
+    }
+
+    /** Sends the request to another target too, if its answer is slow and the limits allow it. */
+    fun startSecondAttempt() {
+        val currentService = service ?: return
+        val maySend = !isCompleted && !isHeadSent && running.size == 1 && !running.hasAnswer &&
+            possibleExecutions + running.size < (route?.maximumTargets ?: 1) &&
+            remaining > MINIMUM_ATTEMPT_TIME &&
+            refusalTime() == null && node.crashes.maySendAgain(fingerprints.request)
+        if (!maySend) return
+        val choice = node.selector.choose(placementRequest()) as? PlacementChoice.Chosen ?: return
+        val isAllowed = node.selector.hasFreeSlots(choice.target.name) &&
+            node.hedging.tryTake(currentService) && node.tryRetry(currentService)
+        node.log.secondAttempt(isAllowed)
+        if (isAllowed) startAttempt(choice.target, choice.cachedAt)
     }
 
     /** Remaining time for which this request is refused; null if it is not. */
@@ -174,7 +198,7 @@
         attempts += 1
         val next =
             TargetAttempt(this, target, cachedAt, node.selector.begin(target.name, metadata.prompt))
-        currentAttempt = next
+        running.add(next)
         val idleConnection = node.pool.acquireIdle(
             target.name,
             head.method(),
@@ -189,13 +213,13 @@
 
     /** Pauses or resumes reading from the target as the caller's connection allows. */
     fun onCallerWritabilityChanged(isWritable: Boolean) {
-        currentAttempt?.connection?.setReading(isWritable)
+        running.setReading(isWritable)
     }
 
     /** Cancels the current attempt after the caller closed its connection. */
     fun onCallerDisconnected() {
         if (isCompleted) return
-        currentAttempt?.cancel(AttemptResult.INCONCLUSIVE)
+        running.cancel(AttemptResult.INCONCLUSIVE)
         complete("caller-left", FinalReason.CALLER_LEFT)
     }
 
@@ -205,8 +229,8 @@
      */
     fun endEarly(reason: FinalReason, failure: HttpResponseStatus): Boolean {
         if (isCompleted) return false
-        val wasNotSent = !mayHaveRun && currentAttempt?.wasNotSent != false
-        currentAttempt?.cancel(AttemptResult.INCONCLUSIVE)
+        val wasNotSent = !mayHaveRun && running.areUnsent
+        running.cancel(AttemptResult.INCONCLUSIVE)
         when {
             isHeadSent -> abort(reason)
             wasNotSent -> refuse(reason, ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER)
@@ -218,7 +242,7 @@
     private fun onTimeout() {
         if (isCompleted) return
         val isUnresponsive = !isHeadSent && receivedAt.elapsedNow() > UNRESPONSIVE_AFTER
-        currentAttempt?.cancel(
+        running.cancel(
             if (isUnresponsive) AttemptResult.TIMED_OUT else AttemptResult.INCONCLUSIVE,
         )
         if (isHeadSent) return abort(FinalReason.TIMEOUT)
@@ -232,11 +256,12 @@
         cause: String,
         isNotExecuted: Boolean,
     ) {
-        currentAttempt = null
+        running.remove(ended)
         if (!isNotExecuted) {
             mayHaveRun = true
             possibleExecutions += 1
         }
+        if (!running.isEmpty) return logFailure(ended, cause, "other-attempt")
         val isAllowed = when {
             remaining < MINIMUM_ATTEMPT_TIME || attempts >= MAXIMUM_ATTEMPTS -> false
             // The output of another execution can only be joined at an event boundary.
@@ -247,7 +272,16 @@
             else -> isRepeatable && possibleExecutions < (route?.maximumTargets ?: 1)
         }
         val willRetry = isAllowed && (ended.wasNotSent || service?.let(node::tryRetry) == true)
-        val next = if (willRetry) "another-target" else "final-answer"
+        logFailure(ended, cause, if (willRetry) "another-target" else "final-answer")
+        if (willRetry) {
+            events?.discardPartialEvent()
+            sendToTarget()
+        } else {
+            completeWithError(reason, ErrorResponses.BUSY_RETRY_AFTER)
+        }
+    }
+
+    private fun logFailure(ended: TargetAttempt, cause: String, next: String) =
         node.log.attemptFailed(
             AttemptSummary(
                 metadata.requestIdentifier,
@@ -259,19 +293,23 @@
                 metadata.prompt?.sharedParts.orEmpty(),
             ),
         )
-        if (willRetry) {
-            events?.discardPartialEvent()
-            sendToTarget()
-        } else {
-            completeWithError(reason, ErrorResponses.BUSY_RETRY_AFTER)
-        }
-    }
 
-    /** Whether another target may be tried after a server error of the current attempt. */
-    fun canRetry(): Boolean = isRepeatable &&
+    /** Whether a server error of an attempt is not the answer yet, as another one may succeed. */
+    fun canRetry(): Boolean = running.size > 1 ||
+        isRepeatable &&
         possibleExecutions + 1 < (route?.maximumTargets ?: 1) &&
         remaining > MINIMUM_ATTEMPT_TIME
 
+    /** Ends the attempts other than [selected], whose answer the caller gets. */
+    fun selectAnswer(selected: TargetAttempt) {
+        if (running.size == 1) return
+        val others = running.select(selected)
+        possibleExecutions += others
+        if (others > 0) mayHaveRun = true
+        node.log.secondAttemptEnded(isAnswered = selected.target.name == lastTarget?.name)
+        lastTarget = selected.target
+    }
+
     /** Forwards the status and headers of the response. */
     fun forwardHead(response: HttpResponse) {
         status = response.status().code()
@@ -287,8 +325,7 @@
 
     /** Ends the request after its complete response was forwarded. */
     fun onResponseComplete() {
-        lastFraming = currentAttempt?.framing
-        currentAttempt = null
+        lastFraming = running.framing
         complete("answered", FinalReason.COMPLETE)
         caller.finish()
     }
@@ -332,6 +369,7 @@
         routingWait.end()
         stream?.close()
         timeoutTask?.cancel(false)
+        secondAttempt?.cancel()
         body.release()
         node.log.requestCompleted(
             ExchangeSummary(
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -10,6 +10,7 @@
 import org.hibiscusproxy.daemon.settings.ForwarderSettings
 import org.hibiscusproxy.forwarding.CrashObserver
 import org.hibiscusproxy.forwarding.DiscoveredTarget
+import org.hibiscusproxy.forwarding.HedgingPolicy
 import org.hibiscusproxy.forwarding.RefusedRequests
 import org.hibiscusproxy.forwarding.RegisteredVersions
 import org.hibiscusproxy.forwarding.RetryLimiter
@@ -54,6 +55,7 @@
         time,
     )
 
+    val hedging = HedgingPolicy(settings.secondAttemptShare)
     private val retryLog = RetryLog(registry, log, time)
 
     /** Active routes; null until the first configuration is received. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -101,6 +101,17 @@
         }
     }
 
+    /** Counts a slow request that got a second attempt, or did not because of a limit. */
+    fun secondAttempt(isAllowed: Boolean) =
+        countSecondAttempt(if (isAllowed) "sent" else "denied")
+
+    /** Counts a second attempt by whether it [isAnswered] before the first one. */
+    fun secondAttemptEnded(isAnswered: Boolean) =
+        countSecondAttempt(if (isAnswered) "won" else "lost")
+
+    private fun countSecondAttempt(result: String) =
+        registry.counter("forwarder.second.attempts", "result", result).increment()
+
     /** Logs that [target] states another [rate] than before. */
     fun statedRateChanged(target: String, rate: StatedRate) = write {
         LOG.info("forwarder: event=stated-rate target={} rate={}", target, rate)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import java.io.IOException
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
 import org.hibiscusproxy.daemon.EventBoundary
 import org.hibiscusproxy.forwarding.AttemptResult
 import org.hibiscusproxy.forwarding.DiscoveredTarget
@@ -43,6 +44,16 @@
     private var bufferedHead: HttpResponse? = null
     private var bufferedBody: ByteBuf? = null
 
+    /** Whether the target has begun to answer. */
+    val hasAnswered: Boolean get() = evidence.answeredAt != null
+
+    /** What the attempt tells of its target if another one's answer is used. */
+    val resultIfDropped: AttemptResult
+        get() = sentAt.let {
+            val isSilent = it != null && !hasAnswered && it.elapsedNow() > UNRESPONSIVE_AFTER
+            if (isSilent) AttemptResult.TIMED_OUT else AttemptResult.INCONCLUSIVE
+        }
+
     /** Whether nothing of the request was written to a connection. */
     val wasNotSent: Boolean get() = sentAt == null
 
@@ -130,6 +141,11 @@
         exchange.node.selector.end(placed, result)
     }
 
+    private fun recordFirstPart() {
+        val route = exchange.route?.takeIf { it.isRepeatable } ?: return
+        sentAt?.let { exchange.node.hedging.recordFirstPart(route.name, it.elapsedNow()) }
+    }
+
     private fun releaseBuffer() {
         bufferedBody?.release()
         bufferedBody = null
@@ -157,6 +173,7 @@
         framing = AnswerFraming.of(response)
         isEventStream = isEventStream(response)
         exchange.node.selector.recordFirstPart(placed)
+        recordFirstPart()
         if (exchange.isHeadSent) {
             if (!isSuccess) rejectInvalid("stream resumption failed with status $responseStatus")
             return
@@ -165,6 +182,7 @@
             isDiscarded = true
             return
         }
+        exchange.selectAnswer(this)
         if (isSuccess && isBufferable(response)) {
             bufferedHead = response
             bufferedBody = Unpooled.buffer()
@@ -284,6 +302,9 @@
     private companion object {
         val SUCCESS_STATUSES = 200..299
         const val SERVER_ERROR = 500
+
+        /** Many times the usual time until an answer begins. */
+        val UNRESPONSIVE_AFTER = 1_000.milliseconds
         const val EVENT_STREAM = "text/event-stream"
 
         /** Responses of plain services are smaller; longer responses are streamed. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -159,6 +159,13 @@
         maximum = 600.0,
     )
     val retryWindowSeconds: Double = 10.0,
+    @Setting(
+        "Second attempts at slow targets, as a ratio to the repeatable requests of a service; none " +
+            "when 0.",
+        minimum = 0.0,
+        maximum = 1.0,
+    )
+    val secondAttemptShare: Double = 0.0,
     @Setting(
         "Load bound of a model engine as a multiple of the mean of its service.",
         minimum = 1.0,
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ForwarderFixture.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ForwarderFixture.kt
@@ -30,6 +30,7 @@
 internal class ForwarderFixture(
     retrySlack: Double = 10.0,
     time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    secondAttemptShare: Double = 0.0,
 ) : AutoCloseable {
     private object NoControllers : ControllerLink {
         override fun sendToAll(message: ControlMessage) = Unit
@@ -40,7 +41,13 @@
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     val loop = group.next()
     val node = ForwardingNode(
-        ForwarderSettings(ANY_PORT, ANY_PORT, targetList = ANY_PORT, retrySlack = retrySlack),
+        ForwarderSettings(
+            ANY_PORT,
+            ANY_PORT,
+            targetList = ANY_PORT,
+            retrySlack = retrySlack,
+            secondAttemptShare = secondAttemptShare,
+        ),
         HeaderWireFormat,
         loop,
         SimpleMeterRegistry(),
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -246,6 +246,10 @@
     fun isLeaving(target: TargetName): Boolean =
         states[target]?.acceptance(time.markNow()) is Acceptance.Leaving
 
+    /** Whether [target] has so few requests in progress that one more is not queued. */
+    fun hasFreeSlots(target: TargetName): Boolean =
+        states[target]?.let { it.running < it.listed.slots * FREE_SLOT_SHARE } == true
+
     /** Whether [target] is listed and takes new requests from this forwarder. */
     fun takesRequests(target: TargetName): Boolean =
         states[target]?.acceptance(time.markNow()) is Acceptance.Open
@@ -274,5 +278,8 @@
     private companion object {
         /** Used until a controller reports the count; high, to limit the load on cold targets. */
         const val ASSUMED_FORWARDERS = 16
+
+        /** Leaves room for requests that other forwarders have sent since their last report. */
+        const val FREE_SLOT_SHARE = 0.7
     }
 }
