Test targets that fall silent with a new connection

A target that sends nothing for 0.4 s after a request is now tested; if no connection can be established, it is suspended and its idle connections are closed. Ruled out: ending the requests in progress, as silence does not tell that they are lost.

StallDetectorTest failed before: the later request reached an idle connection and ended at its deadline.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -46,6 +46,8 @@
     val crashes = CrashObserver(time)
     val refusals = RefusedRequests(time, random)
     val crashDetector = CrashDetector(loop, pool, selector, crashes) { onCrash() }
+    val stalls = StallDetector(loop, pool, selector, time)
+        .also { pool.onReceived = it::onReceived }
     val origins = StreamOrigins(time)
     val lookup = StreamLookup(loop, time, controllers::sendToAll)
     val retryLimiter = RetryLimiter(
@@ -148,7 +150,9 @@
         origins.updateVersions(versions)
         reportStreams()
         selector.updateTargets(targets)
-        pool.prune(targets.mapTo(HashSet()) { it.name })
+        val names = targets.mapTo(HashSet()) { it.name }
+        pool.prune(names)
+        stalls.prune(names)
         startWaiting()
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -128,6 +128,7 @@
         sentAt = exchange.node.time.markNow()
         val listener = GuardedListener(exchange, this)
         newConnection.send(request, exchange.metadata.requestIdentifier, listener)
+        exchange.node.stalls.onSent(target)
     }
 
     fun cancel(result: AttemptResult) {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -53,6 +53,7 @@
     private val wire: WireFormat,
     private val onIdle: (TargetConnection) -> Unit,
     private val onUnmatchedAnswer: (UnmatchedAnswer) -> Unit,
+    private val onReceived: () -> Unit = {},
 ) : ChannelInboundHandlerAdapter() {
     lateinit var channel: Channel
         private set
@@ -222,6 +223,7 @@
 
     /** Called after all bytes that have arrived are decoded. */
     fun onReadComplete() {
+        onReceived()
         if (!isIdleAfterRead) return
         isIdleAfterRead = false
         if (!isOpen) return
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
@@ -27,6 +27,9 @@
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
 
+    /** Called when bytes of a target have arrived. */
+    var onReceived: (TargetName) -> Unit = {}
+
     /** Number of open connections, both idle and in use. */
     var openCount = 0
         private set
@@ -54,6 +57,7 @@
             wire,
             onIdle = { idleOf(target.name).addLast(it) },
             onUnmatchedAnswer = { log.unmatchedAnswer(target.name, it) },
+            onReceived = { onReceived(target.name) },
         )
         val future = bootstrap.clone()
             .handler(object : ChannelInitializer<SocketChannel>() {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -202,6 +202,11 @@
         }
     }
 
+    /** Records that no connection to [target] could be established. */
+    fun recordUnreachable(target: TargetName) {
+        states[target]?.health?.record(AttemptResult.UNREACHABLE, time.markNow())
+    }
+
     /** Records that [target] reported to be cold for [remaining]. */
     fun markCold(target: TargetName, remaining: Duration) {
         states[target]?.markCold(remaining, time.markNow())
