Place requests by the load and the speed that targets state

Targets of some services state their load in X-Server-Load, on some deployments with a fourth figure, how long work takes at the moment. It was not read, so forwarders sent as many requests to a target in a slow spell as to the others, and a target that is slower for good was noticed only by its queue.

The header is parsed into LoadStatement. TargetLoad keeps the newest one and fades it: the stated slowness to the learned speed, the stated count to the reports of the other forwarders. LearnedSpeed compares answer times with those of the other targets, and stays 1 within the variation of the samples. LeastLoadedSelector and EngineSelector use both, also for refusals. Where no target states a fourth figure or differs in learned speed, placement is as before. A malformed statement is ignored, counted and logged.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -58,7 +58,14 @@
 
         override fun sendToLeader(message: ControlMessage) = send { feed.sendToLeader(message) }
     }
-    private val node = ForwardingNode(section, wire, loop, context.registry, controllers)
+    private val node = ForwardingNode(
+        section,
+        wire,
+        loop,
+        context.registry,
+        controllers,
+        dataCenter = settings.dataCenter,
+    )
     private val server = ForwardingServer(group, node)
     private val feed: ControllerFeed = ControllerFeed(
         settings.controllers.map { it.name },
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -17,6 +17,7 @@
 import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.forwarding.StreamOrigins
 import org.hibiscusproxy.forwarding.TargetSelector
+import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.Fingerprint
@@ -37,9 +38,10 @@
     registry: MeterRegistry,
     private val controllers: ControllerLink,
     val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    dataCenter: DataCenterName? = null,
 ) {
     val random = Random.Default
-    val selector = TargetSelector(settings.loadMultiple, time, random)
+    val selector = TargetSelector(settings.loadMultiple, time, random, dataCenter)
     val log = RequestLog(registry, time)
     val pool = TargetPool(loop, wire, log)
     val crashes = CrashObserver(time)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -116,6 +116,12 @@
         LOG.info("forwarder: event=unreadable-retry-after target={}", target)
     }
 
+    /** Records that [target] stated a load that cannot be read and is ignored. */
+    fun malformedLoad(target: TargetName) {
+        registry.counter("forwarder.malformed.loads").increment()
+        write { LOG.info("forwarder: event=malformed-load target={}", target) }
+    }
+
     /** Logs how many retries at [service] were allowed and denied in the last [duration]. */
     fun retriesDecided(service: ServiceName, counts: RetryCounts, duration: Duration) = write {
         LOG.info(
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetStatements.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetStatements.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.daemon.forwarding
 
+import org.hibiscusproxy.forwarding.LoadStatement
 import org.hibiscusproxy.forwarding.StatedPause
 import org.hibiscusproxy.forwarding.StatedRate
 import org.hibiscusproxy.model.TargetName
@@ -12,6 +13,7 @@
         if (metadata.execution == ExecutionStatus.OTHER_TARGET) return false
         recordRate(metadata, status)
         recordPause(metadata.statedPause)
+        recordLoad(metadata.load)
         if (metadata.isLeaving) recordLeaving()
         return metadata.isLeaving
     }
@@ -32,6 +34,12 @@
         is StatedPause.Unreadable -> node.log.unreadablePause(target.value)
     }
 
+    private fun recordLoad(load: LoadStatement) = when (load) {
+        is LoadStatement.None -> Unit
+        is LoadStatement.Known -> node.selector.recordLoad(target, load)
+        is LoadStatement.Malformed -> node.log.malformedLoad(target)
+    }
+
     private fun recordLeaving() {
         node.pool.closeIdle(target)
         if (node.selector.recordLeaving(target)) node.log.statedLeaving(target.value)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/WireFormat.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
+import org.hibiscusproxy.forwarding.LoadStatement
 import org.hibiscusproxy.forwarding.Prompt
 import org.hibiscusproxy.forwarding.StatedPause
 import org.hibiscusproxy.forwarding.StatedRate
@@ -89,6 +90,7 @@
  * @property statedRate rate of requests that the target takes from all forwarders together
  * @property isLeaving whether the target states that it takes no new requests
  * @property statedPause time for which the target wants no request from this forwarder
+ * @property load requests that the target holds, and its speed
  */
 data class ResponseMetadata(
     val requestIdentifiers: Set<String>,
@@ -100,4 +102,5 @@
     val statedRate: StatedRate,
     val isLeaving: Boolean,
     val statedPause: StatedPause,
+    val load: LoadStatement = LoadStatement.None,
 )
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/EngineSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/EngineSelector.kt
@@ -30,14 +30,14 @@
         val bound = loadBound(pool, now)
         val preferred = byPreference(prompt, targets.filter { !it.health.isSuspended(now) })
         val affine = preferred.firstOrNull { state ->
-            state.running + 1 <= bound &&
+            state.presentRunning(now) + 1 <= bound / state.speed.factor &&
                 !state.isCold(now) &&
                 state.health.failureShare < MAXIMUM_FAILURE_SHARE &&
-                latency.prefillTime(state.pendingTokens) < request.objective
+                latency.prefillTime(state.pendingTokens) * state.slowness(now) < request.objective
         }
         val best = affine ?: targets.minBy { cost(it, prompt, now) }
         val uncached = best.prefixCache.uncachedTokens(prompt)
-        val wait = latency.prefillTime(best.pendingTokens + uncached)
+        val wait = latency.prefillTime(best.pendingTokens + uncached) * best.slowness(now)
         if (wait > request.remaining) return refusals.overloaded(wait)
         val others = pool.filter {
             it !== best && !it.health.isSuspended(now) && it.acceptance(now) !is Acceptance.Paused
@@ -49,9 +49,9 @@
     /** Prefill tokens that correspond to the time until [state] answers [prompt]. */
     private fun cost(state: TargetState, prompt: Prompt, now: ComparableTimeMark): Double {
         val cold = if (state.isCold(now)) COLD_COST_TOKENS else 0.0
-        return state.pendingTokens + state.prefixCache.uncachedTokens(prompt) + cold +
-            state.running * RUNNING_COST_TOKENS +
-            state.health.failureShare * FAILURE_COST_TOKENS
+        val work = state.pendingTokens + state.prefixCache.uncachedTokens(prompt) +
+            state.presentRunning(now) * RUNNING_COST_TOKENS
+        return work * state.slowness(now) + cold + state.health.failureShare * FAILURE_COST_TOKENS
     }
 
     /**
@@ -81,7 +81,8 @@
     /** Maximum requests of one engine of [pool], with a margin below the configured bound. */
     private fun loadBound(pool: List<TargetState>, now: ComparableTimeMark): Double {
         val staying = pool.filter { it.acceptance(now) !is Acceptance.Leaving }
-        val mean = staying.sumOf { it.running }.toDouble() / staying.size.coerceAtLeast(1)
+        val mean =
+            staying.sumOf { it.presentRunning(now) }.toDouble() / staying.size.coerceAtLeast(1)
         return mean * (1 + (loadMultiple - 1) * BOUND_SHARE) + BOUND_OFFSET_REQUESTS
     }
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ServiceLatency.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/ServiceLatency.kt
@@ -26,12 +26,12 @@
 
     fun prefillTime(tokens: Long): Duration = (tokens / tokensPerMillisecond).milliseconds
 
-    private companion object {
+    companion object {
         /** Averages over about ten samples. */
-        const val SMOOTHING = 0.1
+        private const val SMOOTHING = 0.1
 
         /** Faster samples weigh more: they show the engine's speed without queueing. */
-        const val FASTER_SMOOTHING = 0.5
+        private const val FASTER_SMOOTHING = 0.5
 
         /** Shorter prompts measure the engine's step time instead of its prefill speed. */
         const val MINIMUM_SAMPLE_TOKENS = 1_000L
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -20,11 +20,13 @@
  * Requests that the targets cannot finish in time are refused immediately. Not thread-safe.
  *
  * @param loadMultiple maximum requests of an engine, as a multiple of the mean of its service
+ * @param dataCenter data centre of this forwarder, which is preferred among equal targets
  */
 class TargetSelector(
     loadMultiple: Double,
     private val time: TimeSource.WithComparableMarks,
     private val random: Random,
+    dataCenter: DataCenterName? = null,
 ) {
     private val states = LinkedHashMap<TargetName, TargetState>()
     private var services: Map<ServiceName, ForwardingService> = emptyMap()
@@ -36,7 +38,9 @@
     private val notices = TargetNotices()
     private val refusals = PlacementRefusals(random)
     private val engines = EngineSelector(loadMultiple, refusals)
-    private val leastLoaded = LeastLoadedSelector(random, refusals)
+    private val leastLoaded = LeastLoadedSelector(random, refusals, dataCenter)
+
+    private val speeds = SpeedLearning()
 
     private val forwarderCount = ForwarderCount(time)
 
@@ -120,10 +124,9 @@
         val isEngine = services[request.service]?.engine != null
         val latency = latency(request.service)
         return if (prompt != null && isEngine) {
-            val pool = states.values.filter { it.listed.service == request.service }
-            engines.choose(request, prompt, available, pool, latency, now)
+            engines.choose(request, prompt, available, pool(request.service), latency, now)
         } else {
-            leastLoaded.choose(request, available, latency)
+            leastLoaded.choose(request, available, latency, now)
         }
     }
 
@@ -160,6 +163,7 @@
     fun begin(target: TargetName, prompt: Prompt?): PlacedAttempt {
         val state = states[target]
         val uncached = if (prompt == null) 0 else state?.prefixCache?.uncachedTokens(prompt) ?: 0
+        val expected = state?.let { expectedTime(it, uncached) }
         if (state != null) {
             state.ownRunning += 1
             state.ownPendingTokens += uncached
@@ -167,7 +171,13 @@
             state.takePermit()
             prompt?.let { recordPrompt(it, state) }
         }
-        return PlacedAttempt(target, state, uncached, time.markNow())
+        return PlacedAttempt(target, state, uncached, time.markNow(), expected)
+    }
+
+    private fun expectedTime(state: TargetState, uncachedTokens: Long): ExpectedTime? {
+        val service = state.listed.service
+        val read = uncachedTokens.takeIf { services[service]?.engine != null }
+        return speeds.expectedTime(state, latency(service), read, time.markNow())
     }
 
     private fun recordPrompt(prompt: Prompt, state: TargetState) {
@@ -186,6 +196,7 @@
         val service = attempt.state?.listed?.service ?: return
         latencies.getOrPut(service) { ServiceLatency() }
             .recordFirstPart(attempt.startedAt.elapsedNow(), attempt.uncachedTokens)
+        if (services[service]?.engine != null) speeds.record(attempt, pool(service))
     }
 
     /** Records the end of [attempt]. */
@@ -199,6 +210,8 @@
         if (result == AttemptResult.ANSWERED) {
             latencies.getOrPut(state.listed.service) { ServiceLatency() }
                 .recordResponse(attempt.startedAt.elapsedNow())
+            val service = state.listed.service
+            if (services[service]?.engine == null) speeds.record(attempt, pool(service))
         }
     }
 
@@ -225,6 +238,12 @@
         return true
     }
 
+    /** Records the [load] that [target] states in an answer. */
+    fun recordLoad(target: TargetName, load: LoadStatement.Known) {
+        val state = states[target] ?: return
+        state.load.record(load, time.markNow(), state.ownRunning)
+    }
+
     /** Removes and returns rates for the next report: those that targets changed. */
     fun takeChangedRates(): List<TargetRate> = changedRates.take()
 
@@ -269,6 +288,9 @@
         compareBy(nullsFirst<ComparableTimeMark>()) { it.health.suspensionEnd() },
     )
 
+    private fun pool(service: ServiceName): List<TargetState> =
+        states.values.filter { it.listed.service == service }
+
     private fun latency(service: ServiceName) = latencies.getOrPut(service) { ServiceLatency() }
 
     private companion object {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetState.kt
@@ -33,6 +33,24 @@
     val running: Int get() = ownRunning + othersRunning
     val pendingTokens: Long get() = ownPendingTokens + othersPendingTokens
 
+    val load = TargetLoad()
+    val speed = LearnedSpeed()
+
+    /** Whether the target states how fast it is, or is known to differ from others of its service. */
+    val hasOwnSpeed: Boolean get() = load.statesSlowness || speed.factor != 1.0
+
+    /** Requests that the target holds at [now], by its statement and the reports of the others. */
+    fun presentRunning(now: ComparableTimeMark): Int = load.present(ownRunning, othersRunning, now)
+
+    /** Factor by which work takes longer at [now] than is usual for the service. */
+    fun slowness(now: ComparableTimeMark): Double = load.slowness(speed.factor, now)
+
+    /** Requests that a new one at [now] would have to wait for, as a multiple of the slots. */
+    fun queueShare(now: ComparableTimeMark): Double {
+        val slots = listed.slots.coerceAtLeast(1)
+        return (presentRunning(now) - slots + 1).coerceAtLeast(0).toDouble() / slots
+    }
+
     /** Requests a second that the target takes from all forwarders; null if it states none. */
     var statedRate: Double? = null
         private set
