Keep prompts at their engine while the whole service is in trouble

An engine lost its preference for cached prefixes at a failure share above 0.3 of its own. When the whole service fails for some seconds, every engine does, prompts scatter, and their shared tokens are read or copied elsewhere. The failure share faded only with answers, which an engine without preference hardly gets. Four failures or two broken connections in a row suspended an engine, which happens by chance while 45 in 100 answers fail.

ServiceTrouble compares the latest outcomes of an engine with those of the others of its service; only the excess counts. More failures in a row are needed for a suspension while the others fail as well.

While the whole service fails, a request that an engine answered with a failure may go there again (TargetSelector.mayRepeatAt). - A prompt whose attempt failed was taken to be cached at that engine. It no longer is. - A prompt moved to its most preferred engine, added or back from a suspension, although another engine with room had it cached. It now stays there while that engine is not clearly busier than the mean. - A source was named for copies although only the request's own part was missing.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -260,6 +260,10 @@
             ),
         )
         if (willRetry) {
+            val isTargetFailed = reason == FinalReason.TARGET_FAILED
+            if (isTargetFailed && node.selector.mayRepeatAt(ended.target.name)) {
+                triedTargets -= ended.target.name
+            }
             events?.discardPartialEvent()
             sendToTarget()
         } else {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/EngineSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/EngineSelector.kt
@@ -28,14 +28,16 @@
         now: ComparableTimeMark,
     ): PlacementChoice {
         val bound = loadBound(pool, now)
+        val trouble = ServiceTrouble(pool, now)
         val preferred = byPreference(prompt, targets.filter { !it.health.isSuspended(now) })
-        val affine = preferred.firstOrNull { state ->
+        val eligible = preferred.filter { state ->
             state.presentRunning(now) + 1 <= bound / state.speed.factor &&
                 !state.isCold(now) &&
-                state.health.failureShare < MAXIMUM_FAILURE_SHARE &&
+                trouble.excessShare(state) < ServiceTrouble.MAXIMUM_EXCESS_SHARE &&
                 latency.prefillTime(state.pendingTokens) * state.slowness(now) < request.objective
         }
-        val best = affine ?: targets.minBy { cost(it, prompt, now) }
+        val affine = holder(eligible, prompt, pool, now) ?: eligible.firstOrNull()
+        val best = affine ?: targets.minBy { cost(it, prompt, trouble, now) }
         val uncached = best.prefixCache.uncachedTokens(prompt)
         val wait = latency.prefillTime(best.pendingTokens + uncached) * best.slowness(now)
         if (wait > request.remaining) return refusals.overloaded(wait)
@@ -46,12 +48,38 @@
         return PlacementChoice.Chosen(best.listed, source?.listed)
     }
 
+    /**
+     * Returns the most preferred of the [eligible] engines that has the shared parts of [prompt]
+     * cached, unless only engines have them that are clearly busier than the mean of the [pool]:
+     * then another one shares the load.
+     */
+    private fun holder(
+        eligible: List<TargetState>,
+        prompt: Prompt,
+        pool: List<TargetState>,
+        now: ComparableTimeMark,
+    ): TargetState? {
+        val shared = prompt.sharedParts
+        if (shared.isEmpty()) return null
+        val bound = mean(pool, now) * HOLDER_LOAD_MULTIPLE + BOUND_OFFSET_REQUESTS
+        return eligible.firstOrNull {
+            val isPreferred = it === eligible.first()
+            it.prefixCache.containsAll(shared) &&
+                (isPreferred || it.presentRunning(now) + 1 <= bound / it.speed.factor)
+        }
+    }
+
     /** Prefill tokens that correspond to the time until [state] answers [prompt]. */
-    private fun cost(state: TargetState, prompt: Prompt, now: ComparableTimeMark): Double {
+    private fun cost(
+        state: TargetState,
+        prompt: Prompt,
+        trouble: ServiceTrouble,
+        now: ComparableTimeMark,
+    ): Double {
         val cold = if (state.isCold(now)) COLD_COST_TOKENS else 0.0
         val work = state.pendingTokens + state.prefixCache.uncachedTokens(prompt) +
             state.presentRunning(now) * RUNNING_COST_TOKENS
-        return work * state.slowness(now) + cold + state.health.failureShare * FAILURE_COST_TOKENS
+        return work * state.slowness(now) + cold + trouble.excessShare(state) * FAILURE_COST_TOKENS
     }
 
     /**
@@ -73,17 +101,21 @@
         ) {
             return holder
         }
-        if (uncached < MINIMUM_COPY_TOKENS) return null
+        val shared = prompt.sharedParts
+        val hasShared = shared.isNotEmpty() && best.prefixCache.containsAll(shared)
+        if (uncached < MINIMUM_COPY_TOKENS || hasShared) return null
         val other = preferred.firstOrNull { it !== best }
         return other.takeIf { best !== preferred.firstOrNull() || best.isNew(now) }
     }
 
     /** Maximum requests of one engine of [pool], with a margin below the configured bound. */
-    private fun loadBound(pool: List<TargetState>, now: ComparableTimeMark): Double {
+    private fun loadBound(pool: List<TargetState>, now: ComparableTimeMark): Double =
+        mean(pool, now) * (1 + (loadMultiple - 1) * BOUND_SHARE) + BOUND_OFFSET_REQUESTS
+
+    /** Mean requests of the engines of [pool] that stay. */
+    private fun mean(pool: List<TargetState>, now: ComparableTimeMark): Double {
         val staying = pool.filter { it.acceptance(now) !is Acceptance.Leaving }
-        val mean =
-            staying.sumOf { it.presentRunning(now) }.toDouble() / staying.size.coerceAtLeast(1)
-        return mean * (1 + (loadMultiple - 1) * BOUND_SHARE) + BOUND_OFFSET_REQUESTS
+        return staying.sumOf { it.presentRunning(now) }.toDouble() / staying.size.coerceAtLeast(1)
     }
 
     /** Sorts engines by rendezvous score of the shared parts, the same at all forwarders. */
@@ -98,12 +130,12 @@
         /** Share of the load multiple's excess to use, because counts of others are stale. */
         const val BOUND_SHARE = 0.8
 
+        /** An engine that is busier than this multiple of the mean keeps no prompts of others. */
+        const val HOLDER_LOAD_MULTIPLE = 1.25
+
         /** Requests allowed in addition to the multiple, for services with little load. */
         const val BOUND_OFFSET_REQUESTS = 3.0
 
-        /** An engine with a higher failure share loses its preference for cached prefixes. */
-        const val MAXIMUM_FAILURE_SHARE = 0.3
-
         /** Prefill tokens that delay a new prompt as much as one running stream. */
         const val RUNNING_COST_TOKENS = 100.0
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacedAttempt.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacedAttempt.kt
@@ -10,6 +10,8 @@
     internal val uncachedTokens: Long,
     internal val startedAt: ComparableTimeMark,
     internal val expected: ExpectedTime?,
+    internal val prompt: Prompt?,
+    internal val addedParts: List<PromptPart>,
 ) {
     internal var isAnswered = false
     internal var isEnded = false
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PrefixCacheEstimate.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PrefixCacheEstimate.kt
@@ -37,6 +37,14 @@
         evict()
     }
 
+    /** Records that the engine did not store [unread]. */
+    fun remove(unread: List<PromptPart>) = unread.forEach { part ->
+        parts.remove(part.identifier)?.let { tokens -= it }
+    }
+
+    /** Parts of [prompt] that are not estimated to be cached. */
+    fun missing(prompt: Prompt): List<PromptPart> = prompt.parts.filter { it.identifier !in parts }
+
     private fun evict() {
         val oldest = parts.entries.iterator()
         while (tokens > capacityTokens && oldest.hasNext()) {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/SentPromptQueue.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/SentPromptQueue.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.forwarding
 
+import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.SentPrompt
 
 /**
@@ -19,6 +20,11 @@
         prompts.addLast(sent)
     }
 
+    /** Removes the prompt with [parts] that [target] did not read after all. */
+    fun remove(target: TargetName, parts: List<PromptPart>) {
+        prompts.remove(SentPrompt(target, parts))
+    }
+
     /** Removes and returns the oldest prompts, up to the size of one message. */
     fun take(): List<SentPrompt> =
         List(minOf(prompts.size, PROMPTS_PER_MESSAGE)) { prompts.removeFirst() }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetHealth.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetHealth.kt
@@ -1,5 +1,7 @@
 package org.hibiscusproxy.forwarding
 
+import kotlin.math.ceil
+import kotlin.math.ln
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,12 +31,16 @@
 /**
  * Tracks the health of one target by the outcomes of attempts. Consecutive failures suspend the
  * target for a time that doubles with each failure, after which single requests probe it again. A
- * high failure rate lowers its rank.
+ * high failure rate lowers its rank. While the other targets of the service fail as well, more
+ * failures in a row are needed: they say less about this one.
  */
 internal class TargetHealth {
     private var consecutiveFailures = 0
     private var suspendedUntil: ComparableTimeMark? = null
 
+    /** The latest outcomes, to compare the targets of a service. */
+    val outcomes = RecentOutcomes()
+
     /** Exponential moving average of the share of failed attempts, from 0 to 1. */
     var failureShare = 0.0
         private set
@@ -46,7 +52,14 @@
     /** End of the latest suspension, or null if the target has answered since. */
     fun suspensionEnd(): ComparableTimeMark? = suspendedUntil
 
-    fun record(result: AttemptResult, now: ComparableTimeMark) {
+    /**
+     * Records the [result] of an attempt.
+     *
+     * @param usualShare present share of failures at the other targets of the service
+     */
+    fun record(result: AttemptResult, now: ComparableTimeMark, usualShare: Double = 0.0) {
+        if (result == AttemptResult.INCONCLUSIVE) return
+        outcomes.record(isFailure = result != AttemptResult.ANSWERED, now)
         when (result) {
             AttemptResult.INCONCLUSIVE -> return
 
@@ -56,14 +69,23 @@
                 failureShare *= 1 - SMOOTHING
             }
 
-            AttemptResult.FAILED -> failed(now, tolerated = TOLERATED_FAILURES)
+            AttemptResult.FAILED -> failed(now, maxOf(TOLERATED_FAILURES, usualRun(usualShare)))
 
-            AttemptResult.CONNECTION_BROKEN -> failed(now, tolerated = TOLERATED_BROKEN_CONNECTIONS)
+            AttemptResult.CONNECTION_BROKEN -> failed(
+                now,
+                maxOf(TOLERATED_BROKEN_CONNECTIONS, usualRun(usualShare)),
+            )
 
             AttemptResult.UNREACHABLE, AttemptResult.TIMED_OUT -> failed(now, tolerated = 0)
         }
     }
 
+    /** Failures in a row that a target like the others, of which [share] fail, rarely exceeds. */
+    private fun usualRun(share: Double): Int {
+        if (share < MINIMUM_USUAL_SHARE) return 0
+        return ceil(ln(RARE_RUN) / ln(share.coerceAtMost(MAXIMUM_USUAL_SHARE))).toInt()
+    }
+
     private fun failed(now: ComparableTimeMark, tolerated: Int) {
         consecutiveFailures += 1
         failureShare += (1 - failureShare) * SMOOTHING
@@ -83,6 +105,15 @@
         private const val TOLERATED_BROKEN_CONNECTIONS = 1
         private const val MAXIMUM_DOUBLINGS = 5
 
+        /** Probability of a run of failures by chance that suspends a target. */
+        private const val RARE_RUN = 0.01
+
+        /** Below, single failures decide as they do in a service without trouble. */
+        private const val MINIMUM_USUAL_SHARE = 0.1
+
+        /** Above, a target that is lost would be noticed too late; 20 failures in a row. */
+        private const val MAXIMUM_USUAL_SHARE = 0.8
+
         /** About one round of connection attempts; a target restarts within a few seconds. */
         val FIRST_SUSPENSION: Duration = 250.milliseconds
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -32,7 +32,7 @@
     private var services: Map<ServiceName, ForwardingService> = emptyMap()
     private var drained: Set<DataCenterName> = emptySet()
     private val latencies = HashMap<ServiceName, ServiceLatency>()
-    private val sentPrompts = SentPromptQueue()
+    private val prompts = PlacedPrompts()
     private val changedRates = StatedRateQueue(time)
     private val demand = DemandShares(time)
     private val notices = TargetNotices()
@@ -100,7 +100,7 @@
     }
 
     /** Removes and returns prompts for the next report: those sent to engines without them. */
-    fun takeSentPrompts(): List<SentPrompt> = sentPrompts.take()
+    fun takeSentPrompts(): List<SentPrompt> = prompts.takeSent()
 
     /** Requests of this forwarder in progress, as reported to the others. */
     fun ownUsage(): List<TargetUse> = states.values
@@ -163,29 +163,20 @@
     fun begin(target: TargetName, prompt: Prompt?): PlacedAttempt {
         val state = states[target]
         val uncached = if (prompt == null) 0 else state?.prefixCache?.uncachedTokens(prompt) ?: 0
-        val expected = state?.let { expectedTime(it, uncached) }
+        val expected = state?.let {
+            val service = it.listed.service
+            val read = uncached.takeIf { services[service]?.engine != null }
+            speeds.expectedTime(it, latency(service), read, time.markNow())
+        }
+        var added: List<PromptPart> = emptyList()
         if (state != null) {
             state.ownRunning += 1
             state.ownPendingTokens += uncached
             if (state.isCold(time.markNow())) state.takeColdToken()
             state.takePermit()
-            prompt?.let { recordPrompt(it, state) }
-        }
-        return PlacedAttempt(target, state, uncached, time.markNow(), expected)
-    }
-
-    private fun expectedTime(state: TargetState, uncachedTokens: Long): ExpectedTime? {
-        val service = state.listed.service
-        val read = uncachedTokens.takeIf { services[service]?.engine != null }
-        return speeds.expectedTime(state, latency(service), read, time.markNow())
-    }
-
-    private fun recordPrompt(prompt: Prompt, state: TargetState) {
-        val shared = prompt.sharedParts
-        if (!state.prefixCache.containsAll(shared)) {
-            sentPrompts.add(SentPrompt(state.listed.name, shared))
+            if (prompt != null) added = prompts.begin(prompt, state)
         }
-        state.prefixCache.add(prompt.parts)
+        return PlacedAttempt(target, state, uncached, time.markNow(), expected, prompt, added)
     }
 
     /** Records the arrival of the first part of the response to [attempt]. */
@@ -206,7 +197,10 @@
         val state = attempt.state ?: return
         state.ownRunning -= 1
         if (!attempt.isAnswered) state.ownPendingTokens -= attempt.uncachedTokens
-        state.health.record(result, time.markNow())
+        val now = time.markNow()
+        val others = ServiceTrouble(pool(state.listed.service), now).shareOfOthers(state)
+        state.health.record(result, now, others)
+        prompts.end(attempt, result)
         if (result == AttemptResult.ANSWERED) {
             latencies.getOrPut(state.listed.service) { ServiceLatency() }
                 .recordResponse(attempt.startedAt.elapsedNow())
@@ -215,6 +209,17 @@
         }
     }
 
+    /**
+     * Whether a request that [target] failed may be sent there again. Another engine would have to
+     * read or copy the prompt, and fails as often while the whole service is in trouble.
+     */
+    fun mayRepeatAt(target: TargetName): Boolean {
+        val state = states[target] ?: return false
+        val service = state.listed.service
+        if (services[service]?.engine == null) return false
+        return ServiceTrouble(pool(service), time.markNow()).mayRepeatAt(state)
+    }
+
     /** Records that [target] reported to be cold for [remaining]. */
     fun markCold(target: TargetName, remaining: Duration) {
         states[target]?.markCold(remaining, time.markNow())
