--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -274,6 +274,10 @@
         val willRetry = isAllowed && (ended.wasNotSent || service?.let(node::tryRetry) == true)
         logFailure(ended, cause, if (willRetry) "another-target" else "final-answer")
         if (willRetry) {
+            val isTargetFailed = reason == FinalReason.TARGET_FAILED
+            if (isTargetFailed && node.selector.mayRepeatAt(ended.target.name)) {
+                triedTargets -= ended.target.name
+            }
             events?.discardPartialEvent()
             sendToTarget()
         } else {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -20,23 +20,27 @@
  * Requests that the targets cannot finish in time are refused immediately. Not thread-safe.
  *
  * @param loadMultiple maximum requests of an engine, as a multiple of the mean of its service
+ * @param dataCenter data centre of this forwarder, which is preferred among equal targets
  */
 class TargetSelector(
     loadMultiple: Double,
     private val time: TimeSource.WithComparableMarks,
     private val random: Random,
+    dataCenter: DataCenterName? = null,
 ) {
     private val states = LinkedHashMap<TargetName, TargetState>()
     private var services: Map<ServiceName, ForwardingService> = emptyMap()
     private var drained: Set<DataCenterName> = emptySet()
     private val latencies = HashMap<ServiceName, ServiceLatency>()
-    private val sentPrompts = SentPromptQueue()
+    private val prompts = PlacedPrompts()
     private val changedRates = StatedRateQueue(time)
     private val demand = DemandShares(time)
     private val notices = TargetNotices()
     private val refusals = PlacementRefusals(random)
     private val engines = EngineSelector(loadMultiple, refusals)
-    private val leastLoaded = LeastLoadedSelector(random, refusals)
+    private val leastLoaded = LeastLoadedSelector(random, refusals, dataCenter)
+
+    private val speeds = SpeedLearning()
 
     private val forwarderCount = ForwarderCount(time)
 
@@ -96,7 +100,7 @@
     }
 
     /** Removes and returns prompts for the next report: those sent to engines without them. */
-    fun takeSentPrompts(): List<SentPrompt> = sentPrompts.take()
+    fun takeSentPrompts(): List<SentPrompt> = prompts.takeSent()
 
     /** Requests of this forwarder in progress, as reported to the others. */
     fun ownUsage(): List<TargetUse> = states.values
@@ -120,10 +124,9 @@
         val isEngine = services[request.service]?.engine != null
         val latency = latency(request.service)
         return if (prompt != null && isEngine) {
-            val pool = states.values.filter { it.listed.service == request.service }
-            engines.choose(request, prompt, available, pool, latency, now)
+            engines.choose(request, prompt, available, pool(request.service), latency, now)
         } else {
-            leastLoaded.choose(request, available, latency)
+            leastLoaded.choose(request, available, latency, now)
         }
     }
 
@@ -160,22 +163,20 @@
     fun begin(target: TargetName, prompt: Prompt?): PlacedAttempt {
         val state = states[target]
         val uncached = if (prompt == null) 0 else state?.prefixCache?.uncachedTokens(prompt) ?: 0
+        val expected = state?.let {
+            val service = it.listed.service
+            val read = uncached.takeIf { services[service]?.engine != null }
+            speeds.expectedTime(it, latency(service), read, time.markNow())
+        }
+        var added: List<PromptPart> = emptyList()
         if (state != null) {
             state.ownRunning += 1
             state.ownPendingTokens += uncached
             if (state.isCold(time.markNow())) state.takeColdToken()
             state.takePermit()
-            prompt?.let { recordPrompt(it, state) }
+            if (prompt != null) added = prompts.begin(prompt, state)
         }
-        return PlacedAttempt(target, state, uncached, time.markNow())
-    }
-
-    private fun recordPrompt(prompt: Prompt, state: TargetState) {
-        val shared = prompt.sharedParts
-        if (!state.prefixCache.containsAll(shared)) {
-            sentPrompts.add(SentPrompt(state.listed.name, shared))
-        }
-        state.prefixCache.add(prompt.parts)
+        return PlacedAttempt(target, state, uncached, time.markNow(), expected, prompt, added)
     }
 
     /** Records the arrival of the first part of the response to [attempt]. */
@@ -186,6 +187,7 @@
         val service = attempt.state?.listed?.service ?: return
         latencies.getOrPut(service) { ServiceLatency() }
             .recordFirstPart(attempt.startedAt.elapsedNow(), attempt.uncachedTokens)
+        if (services[service]?.engine != null) speeds.record(attempt, pool(service))
     }
 
     /** Records the end of [attempt]. */
@@ -195,10 +197,15 @@
         val state = attempt.state ?: return
         state.ownRunning -= 1
         if (!attempt.isAnswered) state.ownPendingTokens -= attempt.uncachedTokens
-        state.health.record(result, time.markNow())
+        val now = time.markNow()
+        val others = ServiceTrouble(pool(state.listed.service), now).shareOfOthers(state)
+        state.health.record(result, now, others)
+        prompts.end(attempt, result)
         if (result == AttemptResult.ANSWERED) {
             latencies.getOrPut(state.listed.service) { ServiceLatency() }
                 .recordResponse(attempt.startedAt.elapsedNow())
+            val service = state.listed.service
+            if (services[service]?.engine == null) speeds.record(attempt, pool(service))
         }
     }
 
@@ -207,6 +214,17 @@
         states[target]?.health?.record(AttemptResult.UNREACHABLE, time.markNow())
     }
 
+    /**
+     * Whether a request that [target] failed may be sent there again. Another engine would have to
+     * read or copy the prompt, and fails as often while the whole service is in trouble.
+     */
+    fun mayRepeatAt(target: TargetName): Boolean {
+        val state = states[target] ?: return false
+        val service = state.listed.service
+        if (services[service]?.engine == null) return false
+        return ServiceTrouble(pool(service), time.markNow()).mayRepeatAt(state)
+    }
+
     /** Records that [target] reported to be cold for [remaining]. */
     fun markCold(target: TargetName, remaining: Duration) {
         states[target]?.markCold(remaining, time.markNow())
@@ -230,6 +248,12 @@
         return true
     }
 
+    /** Records the [load] that [target] states in an answer. */
+    fun recordLoad(target: TargetName, load: LoadStatement.Known) {
+        val state = states[target] ?: return
+        state.load.record(load, time.markNow(), state.ownRunning)
+    }
+
     /** Removes and returns rates for the next report: those that targets changed. */
     fun takeChangedRates(): List<TargetRate> = changedRates.take()
 
@@ -278,6 +302,9 @@
         compareBy(nullsFirst<ComparableTimeMark>()) { it.health.suspensionEnd() },
     )
 
+    private fun pool(service: ServiceName): List<TargetState> =
+        states.values.filter { it.listed.service == service }
+
     private fun latency(service: ServiceName) = latencies.getOrPut(service) { ServiceLatency() }
 
     private companion object {
