Add the control part of rollouts

Orders to move a service to another software version are part of the replicated routing. The leader moves their phases by time and by the answers that forwarders report, and compares both versions.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -71,6 +71,11 @@
         dependencies.recorder,
         membership(dependencies),
         links::send,
+        RolloutSettings(
+            settings.exposureShare,
+            settings.exposureSlack,
+            settings.rollbackMilliseconds.milliseconds,
+        ),
     )
     private val worker = ControllerWorker(core, TICK_INTERVAL)
     private val limits = ChangeLimits()
@@ -126,6 +131,15 @@
     /** Voters that are missing to bear the tolerated losses, as this controller knows the cluster. */
     val missingVoters: Int get() = core.missingVoters
 
+    /** Number of running rollouts. */
+    val runningRollouts: Int get() = core.runningRollouts
+
+    /** Number of rollouts that completed while this controller led. */
+    val completedRollouts: Long get() = core.completedRollouts
+
+    /** Number of rollouts that were rolled back while this controller led. */
+    val rolledBackRollouts: Long get() = core.rolledBackRollouts
+
     /** Adds [controllers] to the processes that this replica announces itself to. */
     fun addContacts(controllers: List<ProcessName>) {
         worker.trySubmit(ControllerInput.Contacts(controllers))
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.hibiscusproxy.consensus.ConsensusOutput
@@ -48,6 +49,7 @@
     private val recorder: EventRecorder,
     private val membership: ControllerMembership,
     private val sendToController: (ProcessName, ControlMessage) -> Unit,
+    rolloutSettings: RolloutSettings = RolloutSettings(),
 ) {
     private val proposals = Proposals(log, time)
     private val leadership = Leadership(log, state, settings, time)
@@ -77,6 +79,15 @@
     )
     private val streams = StreamService(log, state, leadership, proposals, time)
     private val crashes = CrashService(state, leadership, proposals, time, entries::broadcast)
+    private val rollouts = RolloutService(
+        state,
+        leadership,
+        proposals,
+        entries,
+        time,
+        recorder,
+        rolloutSettings,
+    )
     private var announcedVersion = 0L
     private var isExpiryProposed = false
     private var prunedAt = time.markNow()
@@ -89,6 +100,15 @@
     /** Voters that are missing to bear the tolerated losses. Readable from any thread. */
     val missingVoters: Int get() = toleranceWatch.missingVoters
 
+    /** Number of running rollouts. Readable from any thread. */
+    val runningRollouts: Int get() = rollouts.runningCount
+
+    /** Rollouts that completed while this replica led. Readable from any thread. */
+    val completedRollouts: Long get() = rollouts.completedCount
+
+    /** Rollouts that were rolled back while this replica led. Readable from any thread. */
+    val rolledBackRollouts: Long get() = rollouts.rolledBackCount
+
     /** Whether this replica was the leader after the last [advance]. Readable from any thread. */
     @Volatile
     var isLeading = false
@@ -111,6 +131,7 @@
             is ControllerInput.Targets -> {
                 streams.updateTargets(input.targets)
                 entries.updateTargets(input.targets)
+                rollouts.updateTargets(input.targets)
             }
 
             is ControllerInput.Routing -> routing.handle(input.call, input.reply)
@@ -129,11 +150,13 @@
         proposeExpiry()
         reconcileMembers()
         log.flush(time.markNow()).forEach(::processOutput)
+        leadership.observeClock()
         announceChanges()
         operators.advance()
         routing.advance()
         crashes.advance()
         streams.advance()
+        rollouts.advance()
         entries.advance()
         orders.advance()
         isLeading = leadership.active() != null
@@ -254,13 +277,17 @@
 
     /**
      * Proposes an expiry once anything has expired, and at least once per [CLOCK_INTERVAL] while
-     * an expiry lies ahead, so that a new leader continues from a nearly current fleet clock.
+     * an expiry lies ahead, so that a new leader continues from a nearly current fleet clock. While
+     * a rollout is running this happens more often, because its deadline may be seconds away.
      */
     private fun proposeExpiry() {
         val leader = leadership.active() ?: return
-        val next = state.nextExpiry ?: return
+        val next = state.nextExpiry
+        if (next == null && !rollouts.isRunning) return
         val now = leader.fleetTime(time.markNow())
-        if (isExpiryProposed || now < next && now < state.clock + CLOCK_INTERVAL) return
+        val interval = if (rollouts.isRunning) ROLLOUT_CLOCK_INTERVAL else CLOCK_INTERVAL
+        val isDue = next != null && now >= next || now >= state.clock + interval
+        if (isExpiryProposed || !isDue) return
         isExpiryProposed = true
         proposals.propose(Expire(now)) { isExpiryProposed = false }
     }
@@ -279,6 +306,9 @@
 
     private companion object {
         val CLOCK_INTERVAL = 30.seconds
+
+        /** A quarter of the time that a rollout of 12 s has left after its latest completion. */
+        val ROLLOUT_CLOCK_INTERVAL = 250.milliseconds
         val PRUNE_INTERVAL = 1.seconds
 
         /** Longer than an election, so that a change of leader closes no connections. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerRole.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.daemon.controller
 
 import com.github.michaelbull.result.getOrElse
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -56,9 +57,20 @@
         }.register(context.registry)
         Gauge.builder("hibiscus.controller.missing.voters") { started.missingVoters.toDouble() }
             .register(context.registry)
+        Gauge.builder("hibiscus.controller.rollouts.running") {
+            started.runningRollouts.toDouble()
+        }.register(context.registry)
+        endedCounter("completed") { started.completedRollouts }
+        endedCounter("rolled-back") { started.rolledBackRollouts }
         scope.launch { onFailure(started.failure.await()) }
     }
 
+    private fun endedCounter(outcome: String, count: () -> Long) {
+        FunctionCounter.builder("hibiscus.controller.rollouts.ended", this) { count().toDouble() }
+            .tag("outcome", outcome)
+            .register(context.registry)
+    }
+
     override fun reload(settings: Settings) {
         controller?.addContacts(settings.controllers.map { it.name })
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -23,6 +23,8 @@
 import org.hibiscusproxy.protocol.ServiceDemand
 import org.hibiscusproxy.protocol.TargetList
 import org.hibiscusproxy.protocol.TargetUse
+import org.hibiscusproxy.rollout.EvidenceLedger
+import org.hibiscusproxy.rollout.EvidenceSource
 
 /**
  * Publishes updates to the entries that forward by host and path: the routing that this controller
@@ -42,6 +44,9 @@
     private val controllers: () -> List<ProcessName>,
     private val initialMessages: () -> List<ControlMessage> = { emptyList() },
 ) {
+    /** Answers during rollouts that entries reported to this controller. */
+    val evidence = EvidenceLedger(time)
+
     private val subscribers = LinkedHashMap<PeerSession, Subscriber>()
     private var targets: List<DiscoveredTarget>? = null
     private var sentVersions = 0L
@@ -78,8 +83,11 @@
     }
 
     fun report(session: PeerSession, load: EntryLoad) {
+        val source = EvidenceSource(session.remote.process, session.remote.incarnation)
+        evidence.record(source, load.evidence)
         val subscriber = subscribers[session] ?: return
         subscriber.uses = load.uses.associateBy { it.target }
+        subscriber.appliedRevision = load.revision
         subscriber.reportedAt = time.markNow()
         val others = subscribers.values.filter { it !== subscriber }
         subscriber.demand = load.demand.associate { it.service to it.perSecond }
@@ -87,6 +95,19 @@
         load.rates.forEach { rate -> others.forEach { it.unsentRates.add(rate) } }
     }
 
+    /**
+     * Whether the entries that report have all applied [revision] and none of them has a request
+     * in progress at a target for which [isOld] holds. False if no entry reports.
+     */
+    fun hasMoved(revision: Long, isOld: (TargetName) -> Boolean): Boolean {
+        val now = time.markNow()
+        val reporting = subscribers.values.filter { it.isReporting(now) }
+        return reporting.isNotEmpty() && reporting.all { subscriber ->
+            subscriber.appliedRevision >= revision &&
+                subscriber.uses.values.none { it.running > 0 && isOld(it.target) }
+        }
+    }
+
     /** Sends [message] to all subscribers. */
     fun broadcast(message: ControlMessage) = subscribers.keys.forEach { it.send(message) }
 
@@ -187,6 +208,7 @@
         /** Since when an entry without routing has been waiting for it; null if it is not. */
         private var waitingSince: ComparableTimeMark? = null
         var uses: Map<TargetName, TargetUse> = emptyMap()
+        var appliedRevision = 0L
         var reportedAt: ComparableTimeMark? = null
         private var sentLoad: FleetLoad? = null
         private var loadSentAt = time.markNow()
@@ -249,8 +271,12 @@
         private fun update(): ControlMessage {
             val routing = state.routing
             fullUpdate?.let { if (it.revision == routing.revision) return it }
-            return RoutingUpdate(routing.revision, routing.configuration, routing.drained)
-                .also { fullUpdate = it }
+            return RoutingUpdate(
+                routing.revision,
+                routing.configuration,
+                routing.drained,
+                routing.rollouts,
+            ).also { fullUpdate = it }
         }
 
         private fun change(known: Long): ControlMessage? {
@@ -259,8 +285,13 @@
             val base = history[known]?.configuration ?: return null
             val next = routing.configuration ?: return null
             val difference = if (base == next) null else RoutingDifference.between(base, next)
-            return RoutingChange(known, routing.revision, difference, routing.drained)
-                .also { changes[known] = it }
+            return RoutingChange(
+                known,
+                routing.revision,
+                difference,
+                routing.drained,
+                routing.rollouts,
+            ).also { changes[known] = it }
         }
 
         fun othersOf(demand: Map<ServiceName, Double>): List<ServiceDemand> = demand
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/LeaderTerm.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/LeaderTerm.kt
@@ -18,9 +18,9 @@
     val term: Long,
     val granter: LeaseGranter,
     base: FleetInstant,
-    startedAt: ComparableTimeMark,
+    baseSeenAt: ComparableTimeMark,
 ) {
-    private val clock = LeaderClock(base, startedAt)
+    private val clock = LeaderClock(base, baseSeenAt)
 
     /** Returns the fleet clock at [now]. */
     fun fleetTime(now: ComparableTimeMark): FleetInstant = clock.at(now)
@@ -35,6 +35,19 @@
 ) {
     private var election: Pair<Long, ComparableTimeMark>? = null
     private var currentTerm: LeaderTerm? = null
+    private var clock = state.clock
+    private var clockSeenAt = time.markNow()
+
+    /**
+     * Records when the fleet clock advanced. A new leader adds the time since then, so that an
+     * election does not delay the deadlines of rollouts. The clock can still only be late, because
+     * a command is applied after its leader read the clock.
+     */
+    fun observeClock() {
+        if (state.clock == clock) return
+        clock = state.clock
+        clockSeenAt = time.markNow()
+    }
 
     /** Returns the term in which this replica leads and its state is current, or null. */
     fun active(): LeaderTerm? {
@@ -44,7 +57,8 @@
         val current = currentTerm
         if (current != null && current.term == term) return current
         val granter = LeaseGranter(settings, electedAt)
-        return LeaderTerm(term, granter, state.clock, time.markNow()).also { currentTerm = it }
+        observeClock()
+        return LeaderTerm(term, granter, clock, clockSeenAt).also { currentTerm = it }
     }
 
     /**
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorMessages.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorMessages.kt
@@ -8,6 +8,8 @@
 import org.hibiscusproxy.model.FleetObjects
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.SoftwareVersion
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.OrderOutcome
 
@@ -115,6 +117,24 @@
     val leases: Int? = null,
     val members: List<MemberReport>,
     val strangers: List<StrangerReport>,
+    val rollouts: List<RolloutReport> = emptyList(),
+)
+
+/**
+ * The latest rollout of a service.
+ *
+ * @property phase phase in which it is, `completed` or `rolled-back`
+ * @property reason why it entered that phase
+ * @property remainingMilliseconds time until the deadline by the applied fleet clock; null if it
+ * has ended
+ */
+@Serializable
+data class RolloutReport(
+    val service: ServiceName,
+    val version: SoftwareVersion,
+    val phase: String,
+    val reason: String,
+    val remainingMilliseconds: Long? = null,
 )
 
 /** A member of the consensus cluster. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorService.kt
@@ -13,6 +13,7 @@
 import org.hibiscusproxy.control.ControlResult
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.rollout.Rollout
 import org.hibiscusproxy.timeline.EventRecorder
 import org.hibiscusproxy.timeline.FleetEvent
 
@@ -193,9 +194,18 @@
             leases = leadership.active()?.granter?.leasesRunning(time.markNow()),
             members = members.sortedBy { it.process.value },
             strangers = log.unknownIdentities.map { StrangerReport(it.key, it.value) },
+            rollouts = state.routing.rollouts.map { it.toReport() },
         )
     }
 
+    private fun Rollout.toReport() = RolloutReport(
+        service,
+        version,
+        phase.label,
+        reason,
+        (deadline.milliseconds - state.clock.milliseconds).takeIf { phase.isRunning },
+    )
+
     private fun notLeader() = OperatorReply.Failed(
         OperatorErrorType.NOT_LEADER,
         "this controller does not lead; nothing was done",
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RoutingService.kt
@@ -6,10 +6,13 @@
 import kotlin.time.TimeSource
 import org.hibiscusproxy.consensus.Consensus
 import org.hibiscusproxy.control.ControlCommand
+import org.hibiscusproxy.control.ControlResult
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.FleetInstant
 import org.hibiscusproxy.control.PublishRouting
+import org.hibiscusproxy.control.RolloutOutcome
 import org.hibiscusproxy.control.SetDrained
+import org.hibiscusproxy.control.StartRollout
 import org.slf4j.LoggerFactory
 
 /**
@@ -36,7 +39,16 @@
                 SetDrained(call.dataCenter, call.isDrained, at)
             }
 
-            is RoutingCall.Read -> read(reply)
+            is RoutingCall.StartRollout -> propose(reply) { at ->
+                val milliseconds = call.duration.inWholeMilliseconds.coerceAtLeast(1)
+                StartRollout(call.service, call.version, milliseconds, at)
+            }
+
+            is RoutingCall.ReadRollout -> read(reply) {
+                RoutingReply.LatestRollout(state.routing.rollout(call.service))
+            }
+
+            is RoutingCall.Read -> read(reply) { RoutingReply.Current(state.routing) }
         }
     }
 
@@ -52,7 +64,7 @@
                     read.reply.complete(RoutingReply.NotLeader(log.leader))
 
                 contact != null && contact >= read.arrivedAt ->
-                    read.reply.complete(RoutingReply.Current(state.routing))
+                    read.reply.complete(read.answer())
 
                 now - read.arrivedAt > CONFIRMATION_LIMIT -> read.reply.complete(
                     RoutingReply.Unconfirmed,
@@ -75,7 +87,7 @@
         }
         proposals.propose(command(leader.fleetTime(time.markNow()))) { outcome ->
             val answer = when (outcome) {
-                is ProposalOutcome.Applied -> RoutingReply.Done
+                is ProposalOutcome.Applied -> outcome.result.toReply()
                 is ProposalOutcome.NotProposed -> RoutingReply.NotLeader(outcome.leader)
                 is ProposalOutcome.Refused -> RoutingReply.Refused(outcome.refusal)
                 is ProposalOutcome.Unknown -> RoutingReply.Unconfirmed
@@ -89,17 +101,26 @@
         }
     }
 
-    private fun read(reply: CompletableFuture<RoutingReply>) {
+    private fun ControlResult.toReply(): RoutingReply {
+        val outcome = (this as? ControlResult.RolloutOrder)?.outcome ?: return RoutingReply.Done
+        return when (outcome) {
+            is RolloutOutcome.Accepted -> RoutingReply.Done
+            is RolloutOutcome.Refused -> RoutingReply.RolloutRefused(outcome)
+        }
+    }
+
+    private fun read(reply: CompletableFuture<RoutingReply>, answer: () -> RoutingReply) {
         if (leadership.active() == null) {
             reply.complete(RoutingReply.NotLeader(log.leader))
             return
         }
-        reads.addLast(Read(time.markNow(), reply))
+        reads.addLast(Read(time.markNow(), reply, answer))
     }
 
     private class Read(
         val arrivedAt: ComparableTimeMark,
         val reply: CompletableFuture<RoutingReply>,
+        val answer: () -> RoutingReply,
     )
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/WorkerRoutingControl.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/WorkerRoutingControl.kt
@@ -7,6 +7,8 @@
 import org.hibiscusproxy.consensus.ProposalRefusal
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.SoftwareVersion
 import org.hibiscusproxy.protocol.Payload
 import org.slf4j.LoggerFactory
 
@@ -43,6 +45,16 @@
         isDrained: Boolean,
     ): CompletableFuture<RoutingReply> = submit(RoutingCall.SetDrained(dataCenter, isDrained))
 
+    override fun startRollout(
+        service: ServiceName,
+        version: SoftwareVersion,
+        duration: Duration,
+    ): CompletableFuture<RoutingReply> =
+        submit(RoutingCall.StartRollout(service, version, duration))
+
+    override fun readRollout(service: ServiceName): CompletableFuture<RoutingReply> =
+        submit(RoutingCall.ReadRollout(service))
+
     override fun read(): CompletableFuture<RoutingReply> = submit(RoutingCall.Read)
 
     private fun submit(call: RoutingCall): CompletableFuture<RoutingReply> {
@@ -58,11 +70,17 @@
         val operation = when (call) {
             is RoutingCall.Publish -> "version ${call.configuration.version}"
             is RoutingCall.SetDrained -> "drain ${call.dataCenter} ${call.isDrained}"
+            is RoutingCall.StartRollout ->
+                "rollout of ${call.service} to ${call.version} within ${call.duration}"
+
+            is RoutingCall.ReadRollout -> "read rollout of ${call.service}"
             is RoutingCall.Read -> "read"
         }
         val outcome = when (reply) {
             is RoutingReply.Done -> "done"
             is RoutingReply.Current -> "revision ${reply.state.revision}"
+            is RoutingReply.LatestRollout -> reply.rollout?.phase?.label ?: "no rollout"
+            is RoutingReply.RolloutRefused -> "refused, ${reply.outcome},"
             is RoutingReply.NotLeader -> "referred to ${reply.leader}"
             is RoutingReply.Refused -> "refused, ${reply.refusal.message},"
             is RoutingReply.Unconfirmed -> "unconfirmed"
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -247,6 +247,26 @@
     val targetList: NetworkAddress? = null,
     @Setting("IP address and port of the platform's interface for routing; none when null.")
     val routingOperators: NetworkAddress? = null,
+    @Setting(
+        "Share of the requests for a service that a bad version may get during a rollout.",
+        minimum = 0.0,
+        maximum = 1.0,
+    )
+    val exposureShare: Double = 0.1,
+    @Setting(
+        "Requests that a bad version may get during a rollout in addition to the share, over all " +
+            "forwarders.",
+        minimum = 0.0,
+        maximum = 100_000.0,
+    )
+    val exposureSlack: Double = 50.0,
+    @Setting(
+        "Time after the 50th bad answer of a version from which it may get no more requests.",
+        unit = "milliseconds",
+        minimum = 100.0,
+        maximum = 600_000.0,
+    )
+    val rollbackMilliseconds: Double = 5_000.0,
 ) {
     /** Whether the controller has a data folder. */
     val hasDisk: Boolean get() = dataFolder.isNotEmpty()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlCommand.kt
@@ -8,6 +8,8 @@
 import org.hibiscusproxy.model.FleetObjects
 import org.hibiscusproxy.model.OperationalState
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.SoftwareVersion
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.Attempt
 import org.hibiscusproxy.protocol.ClaimKey
@@ -16,6 +18,7 @@
 import org.hibiscusproxy.protocol.Payload
 import org.hibiscusproxy.protocol.StoredAnswer
 import org.hibiscusproxy.protocol.StreamGroup
+import org.hibiscusproxy.rollout.RolloutPhase
 
 /**
  * A command in the replicated log. It carries the leader's reading of the fleet clock, because
@@ -208,3 +211,30 @@
     val isDrained: Boolean,
     override val at: FleetInstant,
 ) : ControlCommand()
+
+/**
+ * Orders that the traffic of [service] moves to the targets of [version] within
+ * [durationMilliseconds]. An equal order is a resend until its deadline.
+ */
+@Serializable
+@SerialName("os")
+data class StartRollout(
+    val service: ServiceName,
+    val version: SoftwareVersion,
+    val durationMilliseconds: Long,
+    override val at: FleetInstant,
+) : ControlCommand()
+
+/**
+ * Moves the rollout [number] of [service] to the later phase [phase]. Has no effect if another
+ * order has replaced the rollout or if it has reached that phase or ended.
+ */
+@Serializable
+@SerialName("oa")
+data class AdvanceRollout(
+    val service: ServiceName,
+    val number: Long,
+    val phase: RolloutPhase,
+    val reason: String,
+    override val at: FleetInstant,
+) : ControlCommand()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlResult.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlResult.kt
@@ -39,6 +39,11 @@
     @SerialName("a")
     data class ClaimAcknowledged(val accepted: Boolean) : ControlResult()
 
+    /** Result of a [StartRollout]. */
+    @Serializable
+    @SerialName("o")
+    data class RolloutOrder(val outcome: RolloutOutcome) : ControlResult()
+
     /** The command was applied and has no further result. */
     @Serializable
     @SerialName("d")
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlState.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/ControlState.kt
@@ -124,6 +124,14 @@
                 ControlResult.Done
             }
 
+            is StartRollout ->
+                ControlResult.RolloutOrder(routingTable.startRollout(command, clock))
+
+            is AdvanceRollout -> {
+                routingTable.advanceRollout(command)
+                ControlResult.Done
+            }
+
             is RegisterVersions -> {
                 streams.register(command.listed, clock)
                 ControlResult.Done
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/FleetInstant.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/control/FleetInstant.kt
@@ -7,7 +7,7 @@
 /**
  * Instant of the fleet clock, the logical clock of the control state, in milliseconds. The clock
  * starts at 0 and advances only when a command is applied, to the time that the leader put into the
- * command, so all replicas agree on it. It never goes back and does not advance without a leader;
+ * command, so all replicas agree on it. It never goes back and advances at most as fast as time;
  * deadlines and retention times can therefore expire late, but never early.
  */
 @JvmInline
@@ -28,11 +28,11 @@
 }
 
 /**
- * The leader's reading of the fleet clock: [base], the clock of the state when the leader took over
- * at [takenOverAt], plus the time elapsed since then.
+ * The leader's reading of the fleet clock: [base], the clock of the state when the leader saw it
+ * advance at [seenAt] before it took over, plus the time elapsed since then.
  */
-class LeaderClock(private val base: FleetInstant, private val takenOverAt: ComparableTimeMark) {
+class LeaderClock(private val base: FleetInstant, private val seenAt: ComparableTimeMark) {
     /** Returns the fleet time at [now]. */
     fun at(now: ComparableTimeMark): FleetInstant =
-        base + (now - takenOverAt).coerceAtLeast(Duration.ZERO)
+        base + (now - seenAt).coerceAtLeast(Duration.ZERO)
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/AnswerTimes.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/AnswerTimes.kt
@@ -10,7 +10,7 @@
     const val COUNT = 24
 
     /** Distinguishes a time that is several times longer, in few classes. */
-    private const val GROWTH = 1.5
+    internal const val GROWTH = 1.5
 
     private const val FIRST_UPPER_BOUND_MILLISECONDS = 1.0
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/Rollout.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/Rollout.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.rollout
 
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.hibiscusproxy.control.FleetInstant
@@ -24,7 +25,10 @@
     @SerialName("d") val durationMilliseconds: Long,
     @SerialName("p") val phase: RolloutPhase,
     @SerialName("r") val reason: String = "",
-)
+) {
+    /** Fleet time by which the rollout has to end. */
+    val deadline: FleetInstant get() = orderedAt + durationMilliseconds.milliseconds
+}
 
 /** Phase of a [Rollout]; it determines which share of the requests the new version gets. */
 @Serializable
@@ -56,4 +60,7 @@
             TRIAL, EXPANDING, MOVING -> true
             COMPLETED, ROLLED_BACK -> false
         }
+
+    /** Name for log lines and operators. */
+    val label: String get() = name.lowercase().replace('_', '-')
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/timeline/FleetEvent.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/timeline/FleetEvent.kt
@@ -4,12 +4,15 @@
 import kotlinx.serialization.Serializable
 import org.hibiscusproxy.model.OperationalState
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.SoftwareVersion
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.model.TeamName
 import org.hibiscusproxy.protocol.Attempt
 import org.hibiscusproxy.protocol.BrokenReason
 import org.hibiscusproxy.protocol.NotRunReason
 import org.hibiscusproxy.protocol.RequestIdentifier
+import org.hibiscusproxy.rollout.RolloutPhase
 
 /** An event in one process that is recorded for the timeline of the fleet. */
 @Serializable
@@ -87,6 +90,17 @@
     @SerialName("leader-elected")
     data class LeaderElected(val leader: ProcessName, val term: Long) : FleetEvent()
 
+    /** A rollout entered [phase] because of [reason]. */
+    @Serializable
+    @SerialName("rollout-phase-entered")
+    data class RolloutPhaseEntered(
+        val service: ServiceName,
+        val version: SoftwareVersion,
+        val number: Long,
+        val phase: RolloutPhase,
+        val reason: String,
+    ) : FleetEvent()
+
     /** A target crashed with requests in progress. */
     @Serializable
     @SerialName("target-crashed")
