Limit and judge the traffic of versions under trial at forwarders

Forwarders received rollouts with the routing and ignored them: the targets of a new version got requests like all others, however bad the version was.

RolloutTargets orders the candidates of a request by the phase of the rollout; TargetSelector tries them in this order. EvidenceCollector counts answers, failures and times by rollout, route and target, and forwarders report them with the revision of their routing in EntryLoad. New settings exposureShare and exposureSlack, log lines and a meter.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/EventBoundary.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/EventBoundary.kt
@@ -10,10 +10,13 @@
     private var isBlockOpen = false
     private var hasField = false
 
-    /** Whether an event is complete. Comments and blank lines are no events. */
-    var hasEvent = false
+    /** Number of complete events. Comments and blank lines are no events. */
+    var events = 0
         private set
 
+    /** Whether an event is complete. */
+    val hasEvent: Boolean get() = events > 0
+
     /** Whether a line has begun since the last blank one. */
     val isWithinEvent: Boolean get() = isBlockOpen || !isLineEmpty
 
@@ -32,7 +35,7 @@
 
     private fun endLine() {
         if (isLineEmpty) {
-            hasEvent = hasEvent || hasField
+            if (hasField) events += 1
             hasField = false
             isBlockOpen = false
         } else {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -167,9 +167,8 @@
                 )
             }
             when (message) {
-                is RoutingUpdate, is RoutingChange, is TargetList, is FleetLoad -> onMessage(
-                    message,
-                )
+                is RoutingCurrent, is RoutingUpdate, is RoutingChange -> onMessage(message)
+                is TargetList, is FleetLoad -> onMessage(message)
                 is CrashSuspects, is RefusalList, is StreamAnswer -> onMessage(message)
                 else -> Unit
             }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -189,12 +189,14 @@
 
     /** Pauses or resumes reading from the target as the caller's connection allows. */
     fun onCallerWritabilityChanged(isWritable: Boolean) {
-        currentAttempt?.connection?.setReading(isWritable)
+        currentAttempt?.setReading(isWritable)
     }
 
     /** Cancels the current attempt after the caller closed its connection. */
     fun onCallerDisconnected() {
         if (isCompleted) return
+        // A caller counts its time from a moment earlier, and leaves just before the timeout here.
+        if (remaining < timeout * LEAVING_FRACTION) currentAttempt?.recordTimeout(timeout)
         currentAttempt?.cancel(AttemptResult.INCONCLUSIVE)
         complete("caller-left", FinalReason.CALLER_LEFT)
     }
@@ -217,6 +219,7 @@
 
     private fun onTimeout() {
         if (isCompleted) return
+        currentAttempt?.recordTimeout(timeout)
         val isUnresponsive = !isHeadSent && receivedAt.elapsedNow() > UNRESPONSIVE_AFTER
         currentAttempt?.cancel(
             if (isUnresponsive) AttemptResult.TIMED_OUT else AttemptResult.INCONCLUSIVE,
@@ -355,6 +358,9 @@
         /** After a shorter time, a missing response does not indicate that the target failed. */
         val UNRESPONSIVE_AFTER = 1_000.milliseconds
 
+        /** Part of the timeout that may be left when a caller leaves because of its own timeout. */
+        const val LEAVING_FRACTION = 0.1
+
         /** Maximum number of targets per request, including unreachable and refusing ones. */
         const val MAXIMUM_ATTEMPTS = 4
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -105,6 +105,7 @@
     }
 
     private fun onMessage(message: PeerMessage) = loop.execute {
+        node.recordControllerMessage()
         when (message) {
             is RoutingUpdate -> node.applyRouting(message)
             is RoutingChange -> node.applyRoutingChange(message)
@@ -123,7 +124,7 @@
         repeatGuarded("forwarder") {
             delay(REPORT_INTERVAL)
             val load = withContext(loop.asCoroutineDispatcher()) {
-                node.logRetries()
+                node.logCounts()
                 node.currentLoad()
             }
             feed.report(load)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -13,6 +13,7 @@
 import org.hibiscusproxy.forwarding.RefusedRequests
 import org.hibiscusproxy.forwarding.RegisteredVersions
 import org.hibiscusproxy.forwarding.RetryLimiter
+import org.hibiscusproxy.forwarding.RolloutTargets
 import org.hibiscusproxy.forwarding.RouteIndex
 import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.forwarding.StreamOrigins
@@ -24,6 +25,8 @@
 import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingUpdate
 import org.hibiscusproxy.protocol.StreamsBegun
+import org.hibiscusproxy.rollout.EvidenceCollector
+import org.hibiscusproxy.rollout.ExposureLimits
 import org.slf4j.LoggerFactory
 
 /**
@@ -39,8 +42,18 @@
     val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     val random = Random.Default
-    val selector = TargetSelector(settings.loadMultiple, time, random)
     val log = RequestLog(registry, time)
+    private val rolloutLog = RolloutLog(registry, log, time)
+    private val rollouts = RolloutTargets(
+        ExposureLimits(settings.exposureShare, settings.exposureSlack),
+        time,
+        random,
+        rolloutLog::record,
+    )
+    val selector = TargetSelector(settings.loadMultiple, time, random, rollouts)
+
+    /** Outcomes of requests by the software versions of the targets, while rollouts are running. */
+    val evidence = EvidenceCollector()
     val pool = TargetPool(loop, wire, log)
     val crashes = CrashObserver(time)
     val refusals = RefusedRequests(time, random)
@@ -122,7 +135,9 @@
         val configuration = update.configuration ?: return
         revision = update.revision
         if (routes?.configuration != configuration) routes = RouteIndex(configuration)
-        selector.updateRouting(configuration.services, update.drained)
+        selector.updateRouting(configuration.services, update.drained, update.rollouts)
+        evidence.updateRollouts(update.rollouts)
+        rolloutLog.updateRollouts(update.rollouts)
         LOG.info(
             "forwarder: event=routing revision={} version={} routes={} drained={}",
             revision,
@@ -138,7 +153,7 @@
         val base = routes?.configuration ?: return
         if (change.base != revision) return
         val next = change.difference?.applyTo(base) ?: base
-        applyRouting(RoutingUpdate(change.revision, next, change.drained))
+        applyRouting(RoutingUpdate(change.revision, next, change.drained, change.rollouts))
     }
 
     /** Replaces the targets by the platform's list, and the registered versions. */
@@ -156,8 +171,12 @@
         reportStreams()
     }
 
-    /** Reports streams again to a leader that may not know them. */
+    /** Records that a message of a controller has arrived. */
+    fun recordControllerMessage() = rollouts.recordContact()
+
+    /** Reports streams and evidence again to a leader that may not know them. */
     fun onLeaderFound() {
+        evidence.reportAgain()
         origins.reportAgain()
         reportStreams()
     }
@@ -185,8 +204,11 @@
         return isAllowed
     }
 
-    /** Logs the retries since the last call, if enough time has passed. */
-    fun logRetries() = retryLog.writeIfDue()
+    /** Logs the retries and requests of rollouts since the last call, if enough time has passed. */
+    fun logCounts() {
+        retryLog.writeIfDue()
+        rolloutLog.writeIfDue(rollouts.isRunning && rollouts.isContactLost)
+    }
 
     /** Load of this forwarder, and what it sent and learned, to be reported to the others. */
     fun currentLoad() = EntryLoad(
@@ -194,6 +216,8 @@
         selector.takeSentPrompts(),
         selector.takeChangedRates(),
         selector.ownDemand(),
+        revision,
+        evidence.takeChanged(),
     )
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -11,6 +11,7 @@
 import org.hibiscusproxy.forwarding.StatedRate
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.rollout.Rollout
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -129,6 +130,37 @@
         )
     }
 
+    /** Logs that [rollout] is new or has another phase. */
+    fun rolloutChanged(rollout: Rollout) = write {
+        LOG.info(
+            "forwarder: event=rollout service={} number={} version={} phase={} reason=\"{}\"",
+            rollout.service,
+            rollout.number,
+            rollout.version,
+            rollout.phase,
+            rollout.reason,
+        )
+    }
+
+    /** Logs how many requests the version of [rollout] got in the last [duration]. */
+    fun rolloutRequests(rollout: Rollout, counts: RolloutCounts, duration: Duration) = write {
+        LOG.info(
+            "forwarder: event=rollout-requests service={} number={} phase={} sent={} " +
+                "held-back={} milliseconds={}",
+            rollout.service,
+            rollout.number,
+            rollout.phase,
+            counts.sent,
+            counts.heldBack,
+            duration.inWholeMilliseconds,
+        )
+    }
+
+    /** Logs that no controller is heard during a rollout, or that one is heard again. */
+    fun rolloutContactChanged(isLost: Boolean) = write {
+        LOG.info("forwarder: event=rollout-contact lost={}", isLost)
+    }
+
     private fun write(line: () -> Unit) {
         if (secondStart.elapsedNow() >= 1.seconds) {
             secondStart = timeSource.markNow()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import java.io.IOException
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import org.hibiscusproxy.daemon.EventBoundary
 import org.hibiscusproxy.forwarding.AttemptResult
 import org.hibiscusproxy.forwarding.DiscoveredTarget
@@ -34,6 +35,7 @@
     private val startedAt = exchange.node.time.markNow()
     private var sentAt: ComparableTimeMark? = null
     private val evidence = AttemptEvidence(exchange, target)
+    private val versionRecord = VersionRecord(exchange, target, placed)
 
     /** What marks the end of the target's answer; null until its head has arrived. */
     var framing: AnswerFraming? = null
@@ -92,7 +94,7 @@
             exchange.onAttemptFailed(
                 this,
                 FinalReason.TARGET_REFUSED,
-                "the target stated that it takes no requests",
+                "the target takes no requests any more",
                 isNotExecuted = true,
             )
         } else {
@@ -115,6 +117,7 @@
         connection = newConnection
         val request = TargetRequestFactory(exchange).create(target, cachedAt)
         sentAt = exchange.node.time.markNow()
+        versionRecord.recordSent()
         val listener = GuardedListener(exchange, this)
         newConnection.send(request, exchange.metadata.requestIdentifier, listener)
     }
@@ -124,6 +127,17 @@
         connection?.cancel()
     }
 
+    /** Records that the time of the caller, [timeout] in all, has passed. */
+    fun recordTimeout(timeout: Duration) {
+        if (!isFinished && !isReportedNotExecuted) versionRecord.recordTimeout(timeout)
+    }
+
+    /** Pauses or resumes reading the answer; paused while the caller reads slowly. */
+    fun setReading(isReading: Boolean) {
+        if (!isReading) versionRecord.recordSlowCaller()
+        connection?.setReading(isReading)
+    }
+
     private fun finish(result: AttemptResult) {
         isFinished = true
         if (result != AttemptResult.ANSWERED) releaseBuffer()
@@ -199,7 +213,7 @@
         if (splitter?.isEventTooLong == true) {
             return rejectInvalid("event exceeds ${EventSplitter.MAXIMUM_EVENT_BYTES} bytes")
         }
-        if (!exchange.caller.isWritable) connection?.setReading(false)
+        if (!exchange.caller.isWritable) setReading(false)
     }
 
     /** Skips [bytes] of an answer that is not forwarded; a long one is not read to its end. */
@@ -213,6 +227,7 @@
     override fun onEnd() {
         if (isFinished) return
         if (isDiscarded) {
+            if (!isReportedNotExecuted) versionRecord.recordFailure()
             finish(if (isReportedNotExecuted) AttemptResult.INCONCLUSIVE else AttemptResult.FAILED)
             val reason = if (isReportedNotExecuted) {
                 FinalReason.TARGET_REFUSED
@@ -233,6 +248,11 @@
             recordSurvival()
         }
         val isServerError = responseStatus >= SERVER_ERROR
+        if (isServerError) {
+            versionRecord.recordFailure()
+        } else {
+            versionRecord.recordAnswer(isEventStream)
+        }
         finish(if (isServerError) AttemptResult.FAILED else AttemptResult.ANSWERED)
         bufferedHead?.let(exchange::forwardHead)
         bufferedBody?.let(exchange.caller::writeContent)
@@ -252,6 +272,7 @@
             boundary.append(it)
             true
         }
+        versionRecord.recordEvents(boundary.events)
     }
 
     private fun isStreamInterrupted(): Boolean {
@@ -273,6 +294,7 @@
 
     private fun fail(cause: String) {
         if (isFinished) return
+        if (!isReportedNotExecuted) versionRecord.recordFailure()
         finish(AttemptResult.CONNECTION_BROKEN)
         exchange.onAttemptFailed(this, FinalReason.TARGET_LOST, cause, isReportedNotExecuted)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -165,6 +165,18 @@
         maximum = 100.0,
     )
     val loadMultiple: Double = 2.0,
+    @Setting(
+        "Share of the requests of a service that a version under trial may get, over all entries.",
+        minimum = 0.0,
+        maximum = 1.0,
+    )
+    val exposureShare: Double = 0.1,
+    @Setting(
+        "Requests that a version under trial may get in addition to the share, over all entries.",
+        minimum = 0.0,
+        maximum = 100_000.0,
+    )
+    val exposureSlack: Double = 50.0,
 )
 
 /** Settings of the sidecar role. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacedAttempt.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacedAttempt.kt
@@ -9,6 +9,7 @@
     internal val state: TargetState?,
     internal val uncachedTokens: Long,
     internal val startedAt: ComparableTimeMark,
+    internal val wasCold: Boolean,
 ) {
     internal var isAnswered = false
     internal var isEnded = false
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -13,6 +13,8 @@
 import org.hibiscusproxy.protocol.ServiceDemand
 import org.hibiscusproxy.protocol.TargetRate
 import org.hibiscusproxy.protocol.TargetUse
+import org.hibiscusproxy.rollout.ExposureLimits
+import org.hibiscusproxy.rollout.Rollout
 
 /**
  * Selects targets for requests, and keeps what is known of the targets. Of the targets that may get
@@ -20,11 +22,13 @@
  * Requests that the targets cannot finish in time are refused immediately. Not thread-safe.
  *
  * @param loadMultiple maximum requests of an engine, as a multiple of the mean of its service
+ * @param rollouts restricts the targets of services whose software changes
  */
 class TargetSelector(
     loadMultiple: Double,
     private val time: TimeSource.WithComparableMarks,
     private val random: Random,
+    private val rollouts: RolloutTargets = RolloutTargets(ExposureLimits(), time, random),
 ) {
     private val states = LinkedHashMap<TargetName, TargetState>()
     private var services: Map<ServiceName, ForwardingService> = emptyMap()
@@ -62,10 +66,16 @@
             }
         }
         notices.forgetUnlisted(now)
+        rollouts.updateTargets(targets)
     }
 
-    /** Replaces the published services and the data centres that receive no new requests. */
-    fun updateRouting(published: List<ForwardingService>, drainedDataCenters: Set<DataCenterName>) {
+    /** Replaces the published services, the data centres that receive no new requests, and rollouts. */
+    fun updateRouting(
+        published: List<ForwardingService>,
+        drainedDataCenters: Set<DataCenterName>,
+        latestRollouts: List<Rollout> = emptyList(),
+    ) {
+        rollouts.updateRollouts(latestRollouts, drainedDataCenters)
         services = published.associateBy { it.name }
         drained = drainedDataCenters
         states.values.forEach { it.prefixCache.capacityTokens = memoryTokens(it.listed) }
@@ -109,8 +119,29 @@
     fun choose(request: PlacementRequest): PlacementChoice {
         val now = time.markNow()
         demand.record(request.service)
-        val usable = request.versions.select(states.values.filter { it.isUsable(request, now) })
-        if (usable.isEmpty()) return refuseWithoutTarget(request, now)
+        val pool = states.values.filter { it.isOpen(request.service, now) }
+        val usable = pool.filter { it.listed.name !in request.excluded }
+        val order = rollouts.order(request, usable, pool, forwarders, now)
+        return choose(request, order, now).also { rollouts.record(request, order, it) }
+    }
+
+    private fun choose(
+        request: PlacementRequest,
+        order: RolloutOrder,
+        now: ComparableTimeMark,
+    ): PlacementChoice {
+        val last = order.groups.lastOrNull() ?: return refuseWithoutTarget(request, now)
+        return order.groups.dropLast(1)
+            .filterNot { group -> group.all { it.health.isSuspended(now) } }
+            .firstNotNullOfOrNull { chooseAmong(it, request, now) as? PlacementChoice.Chosen }
+            ?: chooseAmong(last, request, now)
+    }
+
+    private fun chooseAmong(
+        usable: List<TargetState>,
+        request: PlacementRequest,
+        now: ComparableTimeMark,
+    ): PlacementChoice {
         val healthy = usable.filter { !it.health.isSuspended(now) }
             .ifEmpty { listOf(earliestAvailable(usable)) }
         val share = demand.share(request.service, forwarders)
@@ -120,7 +151,8 @@
         val isEngine = services[request.service]?.engine != null
         val latency = latency(request.service)
         return if (prompt != null && isEngine) {
-            val pool = states.values.filter { it.listed.service == request.service }
+            val all = states.values.filter { it.listed.service == request.service }
+            val pool = rollouts.participants(request.service, all)
             engines.choose(request, prompt, available, pool, latency, now)
         } else {
             leastLoaded.choose(request, available, latency)
@@ -132,12 +164,15 @@
         now: ComparableTimeMark,
     ): PlacementChoice {
         val staying = states.values.filter {
-            it.listed.service == request.service && it.acceptance(now) !is Acceptance.Leaving
+            it.listed.service == request.service &&
+                it.acceptance(now) !is Acceptance.Leaving &&
+                !rollouts.isExcluded(it.listed)
         }
         val isGone = request.versions is VersionChoice.Only &&
             staying.map { it.listed }.none(request.versions::matches)
         if (isGone) return refusals.versionGone()
-        val used = request.versions.select(staying.filter { it.listed.dataCenter !in drained })
+        val listed = staying.filter { it.listed.dataCenter !in drained }
+        val used = rollouts.order(request, listed, listed, forwarders, now).groups.flatten()
         val pauses = used.map { (it.acceptance(now) as? Acceptance.Paused)?.remaining }
         val shortest = pauses.minOfOrNull { it ?: Duration.ZERO } ?: Duration.ZERO
         return if (shortest.isPositive()) refusals.paused(shortest) else refusals.noTarget()
@@ -160,14 +195,15 @@
     fun begin(target: TargetName, prompt: Prompt?): PlacedAttempt {
         val state = states[target]
         val uncached = if (prompt == null) 0 else state?.prefixCache?.uncachedTokens(prompt) ?: 0
+        val isCold = state?.isCold(time.markNow()) == true
         if (state != null) {
             state.ownRunning += 1
             state.ownPendingTokens += uncached
-            if (state.isCold(time.markNow())) state.takeColdToken()
+            if (isCold) state.takeColdToken()
             state.takePermit()
             prompt?.let { recordPrompt(it, state) }
         }
-        return PlacedAttempt(target, state, uncached, time.markNow())
+        return PlacedAttempt(target, state, uncached, time.markNow(), isCold)
     }
 
     private fun recordPrompt(prompt: Prompt, state: TargetState) {
@@ -247,14 +283,23 @@
         states[target]?.acceptance(time.markNow()) is Acceptance.Leaving
 
     /** Whether [target] is listed and takes new requests from this forwarder. */
-    fun takesRequests(target: TargetName): Boolean =
-        states[target]?.acceptance(time.markNow()) is Acceptance.Open
+    fun takesRequests(target: TargetName): Boolean = states[target]?.let {
+        it.acceptance(time.markNow()) is Acceptance.Open && !rollouts.isExcluded(it.listed)
+    } == true
+
+    /** Expected time for prefilling the tokens of [attempt] that were not cached. */
+    fun expectedPrefill(attempt: PlacedAttempt): Duration =
+        attempt.state?.let { latency(it.listed.service).prefillTime(attempt.uncachedTokens) }
+            ?: Duration.ZERO
+
+    /** Whether the target of [attempt] is cold, or was when the attempt began. */
+    fun isCold(attempt: PlacedAttempt): Boolean =
+        attempt.wasCold || attempt.state?.isCold(time.markNow()) == true
 
-    private fun TargetState.isUsable(request: PlacementRequest, now: ComparableTimeMark): Boolean =
-        listed.service == request.service &&
+    private fun TargetState.isOpen(service: ServiceName, now: ComparableTimeMark): Boolean =
+        listed.service == service &&
             acceptance(now) is Acceptance.Open &&
-            listed.dataCenter !in drained &&
-            listed.name !in request.excluded
+            listed.dataCenter !in drained
 
     private fun TargetState.canAccept(share: Double, now: ComparableTimeMark): Boolean {
         if (!canSendAtStatedRate(share, now)) return false
