--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeAttempts.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeAttempts.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.daemon.forwarding
 
+import kotlin.time.Duration
 import org.hibiscusproxy.forwarding.AttemptResult
 
 /** The attempts of a request that are in progress: one, or two after a slow start of an answer. */
@@ -40,7 +41,10 @@
     }
 
     /** Pauses or resumes reading from the targets. */
-    fun setReading(isReading: Boolean) = running.forEach { it.connection?.setReading(isReading) }
+    fun setReading(isReading: Boolean) = running.forEach { it.setReading(isReading) }
+
+    /** Records that no attempt was answered before [timeout]. */
+    fun recordTimeout(timeout: Duration) = running.forEach { it.recordTimeout(timeout) }
 
     /** What marks the end of the answer of the only attempt. */
     val framing: AnswerFraming? get() = running.singleOrNull()?.framing
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -112,6 +112,7 @@
     }
 
     private fun onMessage(message: PeerMessage) = loop.execute {
+        node.recordControllerMessage()
         when (message) {
             is RoutingUpdate -> node.applyRouting(message)
             is RoutingChange -> node.applyRoutingChange(message)
@@ -130,7 +131,7 @@
         repeatGuarded("forwarder") {
             delay(REPORT_INTERVAL)
             val load = withContext(loop.asCoroutineDispatcher()) {
-                node.logRetries()
+                node.logCounts()
                 node.currentLoad()
             }
             feed.report(load)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacedAttempt.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacedAttempt.kt
@@ -12,6 +12,7 @@
     internal val expected: ExpectedTime?,
     internal val prompt: Prompt?,
     internal val addedParts: List<PromptPart>,
+    internal val wasCold: Boolean,
 ) {
     internal var isAnswered = false
     internal var isEnded = false
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -13,6 +13,8 @@
 import org.hibiscusproxy.protocol.ServiceDemand
 import org.hibiscusproxy.protocol.TargetRate
 import org.hibiscusproxy.protocol.TargetUse
+import org.hibiscusproxy.rollout.ExposureLimits
+import org.hibiscusproxy.rollout.Rollout
 
 /**
  * Selects targets for requests, and keeps what is known of the targets. Of the targets that may get
@@ -21,12 +23,14 @@
  *
  * @param loadMultiple maximum requests of an engine, as a multiple of the mean of its service
  * @param dataCenter data centre of this forwarder, which is preferred among equal targets
+ * @param rollouts restricts the targets of services whose software changes
  */
 class TargetSelector(
     loadMultiple: Double,
     private val time: TimeSource.WithComparableMarks,
     private val random: Random,
     dataCenter: DataCenterName? = null,
+    private val rollouts: RolloutTargets = RolloutTargets(ExposureLimits(), time, random),
 ) {
     private val states = LinkedHashMap<TargetName, TargetState>()
     private var services: Map<ServiceName, ForwardingService> = emptyMap()
@@ -66,10 +70,16 @@
             }
         }
         notices.forgetUnlisted(now)
+        rollouts.updateTargets(targets)
     }
 
-    /** Replaces the published services and the data centres that receive no new requests. */
-    fun updateRouting(published: List<ForwardingService>, drainedDataCenters: Set<DataCenterName>) {
+    /** Replaces the published services, the data centres that receive no new requests, and rollouts. */
+    fun updateRouting(
+        published: List<ForwardingService>,
+        drainedDataCenters: Set<DataCenterName>,
+        latestRollouts: List<Rollout> = emptyList(),
+    ) {
+        rollouts.updateRollouts(latestRollouts, drainedDataCenters)
         services = published.associateBy { it.name }
         drained = drainedDataCenters
         states.values.forEach { it.prefixCache.capacityTokens = memoryTokens(it.listed) }
@@ -113,8 +123,29 @@
     fun choose(request: PlacementRequest): PlacementChoice {
         val now = time.markNow()
         demand.record(request.service)
-        val usable = request.versions.select(states.values.filter { it.isUsable(request, now) })
-        if (usable.isEmpty()) return refuseWithoutTarget(request, now)
+        val pool = states.values.filter { it.isOpen(request.service, now) }
+        val usable = pool.filter { it.listed.name !in request.excluded }
+        val order = rollouts.order(request, usable, pool, forwarders, now)
+        return choose(request, order, now).also { rollouts.record(request, order, it) }
+    }
+
+    private fun choose(
+        request: PlacementRequest,
+        order: RolloutOrder,
+        now: ComparableTimeMark,
+    ): PlacementChoice {
+        val last = order.groups.lastOrNull() ?: return refuseWithoutTarget(request, now)
+        return order.groups.dropLast(1)
+            .filterNot { group -> group.all { it.health.isSuspended(now) } }
+            .firstNotNullOfOrNull { chooseAmong(it, request, now) as? PlacementChoice.Chosen }
+            ?: chooseAmong(last, request, now)
+    }
+
+    private fun chooseAmong(
+        usable: List<TargetState>,
+        request: PlacementRequest,
+        now: ComparableTimeMark,
+    ): PlacementChoice {
         val healthy = usable.filter { !it.health.isSuspended(now) }
             .ifEmpty { listOf(earliestAvailable(usable)) }
         val share = demand.share(request.service, forwarders)
@@ -124,7 +155,8 @@
         val isEngine = services[request.service]?.engine != null
         val latency = latency(request.service)
         return if (prompt != null && isEngine) {
-            engines.choose(request, prompt, available, pool(request.service), latency, now)
+            val pool = rollouts.participants(request.service, pool(request.service))
+            engines.choose(request, prompt, available, pool, latency, now)
         } else {
             leastLoaded.choose(request, available, latency, now)
         }
@@ -135,12 +167,15 @@
         now: ComparableTimeMark,
     ): PlacementChoice {
         val staying = states.values.filter {
-            it.listed.service == request.service && it.acceptance(now) !is Acceptance.Leaving
+            it.listed.service == request.service &&
+                it.acceptance(now) !is Acceptance.Leaving &&
+                !rollouts.isExcluded(it.listed)
         }
         val isGone = request.versions is VersionChoice.Only &&
             staying.map { it.listed }.none(request.versions::matches)
         if (isGone) return refusals.versionGone()
-        val used = request.versions.select(staying.filter { it.listed.dataCenter !in drained })
+        val listed = staying.filter { it.listed.dataCenter !in drained }
+        val used = rollouts.order(request, listed, listed, forwarders, now).groups.flatten()
         val pauses = used.map { (it.acceptance(now) as? Acceptance.Paused)?.remaining }
         val shortest = pauses.minOfOrNull { it ?: Duration.ZERO } ?: Duration.ZERO
         return if (shortest.isPositive()) refusals.paused(shortest) else refusals.noTarget()
@@ -169,14 +204,24 @@
             speeds.expectedTime(it, latency(service), read, time.markNow())
         }
         var added: List<PromptPart> = emptyList()
+        val isCold = state?.isCold(time.markNow()) == true
         if (state != null) {
             state.ownRunning += 1
             state.ownPendingTokens += uncached
-            if (state.isCold(time.markNow())) state.takeColdToken()
+            if (isCold) state.takeColdToken()
             state.takePermit()
             if (prompt != null) added = prompts.begin(prompt, state)
         }
-        return PlacedAttempt(target, state, uncached, time.markNow(), expected, prompt, added)
+        return PlacedAttempt(
+            target,
+            state,
+            uncached,
+            time.markNow(),
+            expected,
+            prompt,
+            added,
+            isCold,
+        )
     }
 
     /** Records the arrival of the first part of the response to [attempt]. */
@@ -280,14 +325,23 @@
         states[target]?.let { it.running < it.listed.slots * FREE_SLOT_SHARE } == true
 
     /** Whether [target] is listed and takes new requests from this forwarder. */
-    fun takesRequests(target: TargetName): Boolean =
-        states[target]?.acceptance(time.markNow()) is Acceptance.Open
+    fun takesRequests(target: TargetName): Boolean = states[target]?.let {
+        it.acceptance(time.markNow()) is Acceptance.Open && !rollouts.isExcluded(it.listed)
+    } == true
+
+    /** Expected time for prefilling the tokens of [attempt] that were not cached. */
+    fun expectedPrefill(attempt: PlacedAttempt): Duration =
+        attempt.state?.let { latency(it.listed.service).prefillTime(attempt.uncachedTokens) }
+            ?: Duration.ZERO
+
+    /** Whether the target of [attempt] is cold, or was when the attempt began. */
+    fun isCold(attempt: PlacedAttempt): Boolean =
+        attempt.wasCold || attempt.state?.isCold(time.markNow()) == true
 
-    private fun TargetState.isUsable(request: PlacementRequest, now: ComparableTimeMark): Boolean =
-        listed.service == request.service &&
+    private fun TargetState.isOpen(service: ServiceName, now: ComparableTimeMark): Boolean =
+        listed.service == service &&
             acceptance(now) is Acceptance.Open &&
-            listed.dataCenter !in drained &&
-            listed.name !in request.excluded
+            listed.dataCenter !in drained
 
     private fun TargetState.canAccept(share: Double, now: ComparableTimeMark): Boolean {
         if (!canSendAtStatedRate(share, now)) return false
