Judge rollouts against the same moments of the other versions

A first analysis over whole seconds rolled back good versions when a fault of the whole service began in the middle of a second, and convicted a version because of one sick target. Half a second is compared now, no single interval convicts, and few answers of other versions count less.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RolloutSettings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/RolloutSettings.kt
@@ -18,8 +18,7 @@
 ) {
     /** The analysis that finds a bad version within these limits. */
     internal fun toAnalysis() = VersionAnalysis(
-        recentSeconds = (rollback * RECENT_PART).inWholeSeconds
-            .coerceIn(1, VersionAnalysis.RECENT_SECONDS),
+        recent = (rollback * RECENT_PART).coerceIn(SHORTEST_RECENT, VersionAnalysis.RECENT),
         decisiveFailures = (exposureSlack / 2).toLong()
             .coerceIn(VersionAnalysis.MINIMUM_FAILURES.toLong(), VersionAnalysis.DECISIVE_FAILURES),
     )
@@ -27,5 +26,8 @@
     private companion object {
         /** Leaves two fifths of the time for reports, the decision and its way to the forwarders. */
         const val RECENT_PART = 0.6
+
+        /** A few reports of each forwarder. */
+        val SHORTEST_RECENT = 1.seconds
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/EvidenceLedger.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/EvidenceLedger.kt
@@ -11,7 +11,7 @@
 
 /**
  * Collects the cumulative counts that all forwarders report, and sorts what is new in each report
- * by the second in which it arrived. The counts of a former process of a forwarder are kept.
+ * by the interval in which it arrived. The counts of a former process of a forwarder are kept.
  * Not thread-safe.
  */
 class EvidenceLedger(private val time: TimeSource.WithComparableMarks) {
@@ -27,14 +27,14 @@
 
     /** Returns what was reported about the rollout [number]. */
     fun evidence(number: Long): RolloutEvidence =
-        rollouts[number]?.evidence() ?: RolloutEvidence(now = second())
+        rollouts[number]?.evidence() ?: RolloutEvidence(now = interval())
 
     /** Forgets all rollouts but those with [numbers]. */
     fun retain(numbers: Set<Long>) {
         rollouts.keys.retainAll(numbers)
     }
 
-    private fun second(): Long = startedAt.elapsedNow().inWholeSeconds
+    private fun interval(): Long = (startedAt.elapsedNow() / RolloutEvidence.INTERVAL).toLong()
 
     private data class Key(val source: EvidenceSource, val route: String, val target: TargetName?)
 
@@ -42,7 +42,7 @@
         private val known = HashMap<Key, AnswerCounts>()
         private val sources = HashSet<EvidenceSource>()
         private var earlier: Map<String, RouteEvidence> = emptyMap()
-        private val seconds = TreeMap<Long, Map<String, RouteEvidence>>()
+        private val intervals = TreeMap<Long, Map<String, RouteEvidence>>()
 
         fun record(source: EvidenceSource, reported: List<VersionEvidence>) {
             val isFirst = sources.add(source)
@@ -52,8 +52,8 @@
             if (isFirst) {
                 earlier = earlier.plusAll(added)
             } else {
-                seconds[second()] = seconds[second()].orEmpty().plusAll(added)
-                if (seconds.size > MAXIMUM_SECONDS) mergeOldest()
+                intervals[interval()] = intervals[interval()].orEmpty().plusAll(added)
+                if (intervals.size > MAXIMUM_INTERVALS) mergeOldest()
             }
         }
 
@@ -69,9 +69,9 @@
         }
 
         private fun mergeOldest() {
-            val oldest = seconds.pollFirstEntry().value
-            val next = seconds.firstKey()
-            seconds[next] = seconds.getValue(next).plusAll(oldest.toList())
+            val oldest = intervals.pollFirstEntry().value
+            val next = intervals.firstKey()
+            intervals[next] = intervals.getValue(next).plusAll(oldest.toList())
         }
 
         private fun Map<String, RouteEvidence>.plusAll(added: List<Pair<String, RouteEvidence>>) =
@@ -79,11 +79,11 @@
                 sum + (route to (sum[route] ?: RouteEvidence()) + new)
             }
 
-        fun evidence() = RolloutEvidence(earlier, seconds.toMap(), second())
+        fun evidence() = RolloutEvidence(earlier, intervals.toMap(), interval())
     }
 
     private companion object {
         /** Bounds the memory of a rollout of hours; older answers are summed up. */
-        const val MAXIMUM_SECONDS = 60
+        const val MAXIMUM_INTERVALS = 120
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/MatchedAnswers.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/MatchedAnswers.kt
@@ -1,103 +1,130 @@
 package org.hibiscusproxy.rollout
 
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.rollout.RolloutEvidence.Companion.isGap
 
 /**
  * Answers of the version under trial on some routes and what they would be at the other versions.
  *
- * @property trialTargets answers of the version by target, in those seconds in which there are
+ * @property trialTargets answers of the version by target, in those intervals in which there are
  * answers of other versions to compare with
+ * @property trialIntervals the same answers by interval
  * @property referenceFailures failures that other versions would have with as many answers at the
  * same times and on the same routes
  * @property referenceTimes such complete answers by class of time
- * @property referenceTotal answers of other versions that this was computed from
- * @property unmatched answers of the version in seconds with nothing to compare with
+ * @property referenceSize number of answers of other versions that would tell as much if each
+ * counted the same; an interval in which the version has many answers and the others few tells little
+ * @property unmatched answers of the version in intervals with nothing to compare with
  */
 internal class MatchedAnswers private constructor(
     val trialTargets: Map<TargetName, AnswerCounts>,
+    val trialIntervals: Map<Long, AnswerCounts>,
     val referenceFailures: Double,
     val referenceTimes: List<Double>,
-    val referenceTotal: Long,
+    val referenceSize: Double,
     val unmatched: Map<Long, AnswerCounts>,
 ) {
     /** Answers of all targets in [trialTargets]. */
     val trial: AnswerCounts = trialTargets.values.fold(AnswerCounts(), AnswerCounts::plus)
 
     companion object {
-        /** Other versions' answers from which a second is compared with nothing but itself. */
-        private const val ENOUGH_IN_SECOND = 10
+        /** Other versions' answers from which a interval is compared with nothing but itself. */
+        private const val ENOUGH_IN_INTERVAL = 10
 
-        /** Other versions' answers in three seconds from which the middle one is compared. */
+        /** Other versions' answers in three intervals from which the middle one is compared. */
         private const val ENOUGH_AROUND = 3
 
-        /** Answers that count as many as the share over all routes, to bound the effect of few. */
-        private const val PRIOR_ANSWERS = 2.0
+        /**
+         * The share over all routes counts as much as this number of answers on a route, since most
+         * faults of a service concern all its routes and few answers may miss them.
+         */
+        private const val PRIOR_ANSWERS = 5.0
 
-        /** Matches the answers on [routes] in [seconds]. */
+        /** Matches the answers on [routes] in [intervals]. */
         fun of(
-            seconds: Map<Long, Map<String, RouteEvidence>>,
+            intervals: Map<Long, Map<String, RouteEvidence>>,
             routes: Set<String>,
         ): MatchedAnswers {
-            val others = seconds.mapValues { (_, answers) ->
-                answers.filterKeys { it in routes }.values
+            val others = intervals.mapValues { (_, answers) ->
+                answers.filterKeys { !it.isGap }.values
                     .fold(AnswerCounts()) { sum, route -> sum + route.others }
             }
             val trialTargets = LinkedHashMap<TargetName, AnswerCounts>()
             val unmatched = sortedMapOf<Long, AnswerCounts>()
+            val typical = routes.associateWith { route ->
+                intervals.values.mapNotNull { it[route]?.others }
+                    .fold(AnswerCounts(), AnswerCounts::plus)
+            }
             val expected = Expected()
-            val matched = LinkedHashSet<Long>()
-            for ((second, answers) in seconds) {
-                val around = around(second) { others[it] }
+            val matched = LinkedHashMap<Long, AnswerCounts>()
+            for ((interval, answers) in intervals) {
+                val around = around(interval) { others[it] }
                 for ((route, evidence) in answers.filterKeys { it in routes }) {
                     val trial = evidence.trial.values.fold(AnswerCounts(), AnswerCounts::plus)
                     if (trial.total == 0L) continue
-                    if (around.total < ENOUGH_AROUND) {
-                        unmatched.merge(second, trial, AnswerCounts::plus)
+                    if (others.getValue(interval).total == 0L || around.total < ENOUGH_AROUND) {
+                        unmatched.merge(interval, trial, AnswerCounts::plus)
                         continue
                     }
-                    matched += second
+                    matched.merge(interval, trial, AnswerCounts::plus)
                     evidence.trial.forEach { (target, counts) ->
                         trialTargets.merge(target, counts, AnswerCounts::plus)
                     }
-                    val own = around(second) { seconds[it]?.get(route)?.others }
-                    expected.add(trial, own, around)
+                    val own = around(interval) { intervals[it]?.get(route)?.others }
+                    expected.add(trial, own, around, typical.getValue(route))
                 }
             }
             return MatchedAnswers(
                 trialTargets,
+                matched,
                 expected.failures,
                 expected.times.toList(),
-                matched.sumOf { others.getValue(it).total },
+                expected.size,
                 unmatched,
             )
         }
 
-        /** Counts of [second], or of the seconds around it as well if those are few. */
-        private fun around(second: Long, counts: (Long) -> AnswerCounts?): AnswerCounts {
-            val own = counts(second) ?: AnswerCounts()
-            if (own.total >= ENOUGH_IN_SECOND) return own
-            return listOfNotNull(counts(second - 1), own, counts(second + 1))
+        /** Counts of [interval], or of the intervals around it as well if those are few. */
+        private fun around(interval: Long, counts: (Long) -> AnswerCounts?): AnswerCounts {
+            val own = counts(interval) ?: AnswerCounts()
+            if (own.total >= ENOUGH_IN_INTERVAL) return own
+            return listOfNotNull(counts(interval - 1), own, counts(interval + 1))
                 .reduce(AnswerCounts::plus)
         }
     }
 
     private class Expected {
         var failures = 0.0
+        private var total = 0.0
+        private var weightedTotal = 0.0
+
+        /** Effective size of a sample whose parts have different weights, by Kish. */
+        val size: Double get() = if (total == 0.0) 0.0 else total * total / weightedTotal
         val times = DoubleArray(AnswerTimes.COUNT)
 
-        /** Adds what [own], the others' answers on the route, let expect for [trial]. */
-        fun add(trial: AnswerCounts, own: AnswerCounts, all: AnswerCounts) {
-            val prior = all.failures.toDouble() / all.total
-            val share = (own.failures + PRIOR_ANSWERS * prior) / (own.total + PRIOR_ANSWERS)
+        /**
+         * Adds what [own], the others' answers on the route, let expect for [trial]. A few of [all],
+         * on all routes, and of [typical], at all times, are added to them.
+         */
+        fun add(
+            trial: AnswerCounts,
+            own: AnswerCounts,
+            all: AnswerCounts,
+            typical: AnswerCounts,
+        ) {
+            val failing = all.failures.toDouble() / all.total
+            val share = (own.failures + PRIOR_ANSWERS * failing) / (own.total + PRIOR_ANSWERS)
             failures += share * trial.total
-            if (own.answers == 0L) return
-            own.times.forEachIndexed { index, count ->
-                if (index <
-                    times.size
-                ) {
-                    times[index] += count * trial.answers.toDouble() / own.answers
-                }
+            total += trial.total
+            weightedTotal += trial.total.toDouble() * trial.total / (own.total + PRIOR_ANSWERS)
+            if (typical.answers == 0L) return
+            val prior = PRIOR_ANSWERS / typical.answers
+            val scale = trial.answers / (own.answers + PRIOR_ANSWERS)
+            for (index in times.indices) {
+                times[index] += scale * (own.timesIn(index) + prior * typical.timesIn(index))
             }
         }
+
+        private fun AnswerCounts.timesIn(index: Int): Long = times.getOrElse(index) { 0 }
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/RolloutEvidence.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/RolloutEvidence.kt
@@ -1,5 +1,6 @@
 package org.hibiscusproxy.rollout
 
+import kotlin.time.Duration.Companion.milliseconds
 import org.hibiscusproxy.model.TargetName
 
 /**
@@ -26,12 +27,12 @@
  *
  * @property earlier answers by route that forwarders got before their first report to this leader;
  * their times are unknown
- * @property seconds answers by route and by the second in which they were reported
- * @property now the current second
+ * @property seconds answers by route and by the interval of [INTERVAL] in which they were reported
+ * @property now the current interval
  */
 data class RolloutEvidence(
     val earlier: Map<String, RouteEvidence> = emptyMap(),
-    val seconds: Map<Long, Map<String, RouteEvidence>> = emptyMap(),
+    val intervals: Map<Long, Map<String, RouteEvidence>> = emptyMap(),
     val now: Long = 0,
 ) {
     /** Sum of the answers of the version under trial, without the times between events. */
@@ -43,13 +44,19 @@
     /** Sum of the failures of the version under trial. */
     val trialFailures: Long get() = total { it.trial.values.sumOf(AnswerCounts::failures) }
 
-    private fun total(count: (RouteEvidence) -> Long): Long = (seconds.values + earlier)
+    private fun total(count: (RouteEvidence) -> Long): Long = (intervals.values + earlier)
         .sumOf { routes -> routes.filterKeys { !it.isGap }.values.sumOf(count) }
 
-    internal companion object {
+    companion object {
+        /**
+         * Twice the time between a forwarder's reports. Longer ones mix the answers before and during
+         * a fault of the whole service.
+         */
+        val INTERVAL = 500.milliseconds
+
         /** Suffix of the name of a route under which times between events of streams are counted. */
-        const val GAP_SUFFIX = "#gap"
+        internal const val GAP_SUFFIX = "#gap"
 
-        val String.isGap: Boolean get() = endsWith(GAP_SUFFIX)
+        internal val String.isGap: Boolean get() = endsWith(GAP_SUFFIX)
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/RolloutSchedule.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/RolloutSchedule.kt
@@ -39,6 +39,13 @@
     private const val LATEST_TRIAL_END = 0.78
 
     private const val EXPANDING_SHARE = 0.08
+
+    /**
+     * Until here half of the requests go on to the version if its answers are too few for a verdict.
+     * That many answers are less than what a bad version may get, and once all requests have moved
+     * there is nothing to compare with.
+     */
+    private const val LATEST_DECISION = 0.8
     private const val LATEST_EXPANDING_END = 0.86
 
     /** Leaves time to store the end of the rollout and to read it before the deadline. */
@@ -99,7 +106,8 @@
         isInformed: Boolean,
     ): PhaseChange? {
         val minimum = (rollout.durationMilliseconds * EXPANDING_SHARE).toLong().milliseconds
-        val isTried = progress.phaseFor >= maxOf(minimum, MINIMUM_EXPANDING)
+        val isDecided = progress.verdict == RolloutVerdict.Good || part >= LATEST_DECISION
+        val isTried = progress.phaseFor >= maxOf(minimum, MINIMUM_EXPANDING) && isDecided
         return when {
             part >= 1 ->
                 PhaseChange(RolloutPhase.ROLLED_BACK, "the deadline passed before requests moved")
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/VersionAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/VersionAnalysis.kt
@@ -1,20 +1,22 @@
 package org.hibiscusproxy.rollout
 
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import org.hibiscusproxy.rollout.RolloutEvidence.Companion.isGap
 
 /**
  * Compares the version under trial of a rollout with the other versions, over all routes and on
- * each, over the whole rollout and over the last seconds. Each second is compared with the same
- * second only, because a fault of the whole service may coincide with a larger share of the new
- * version, and would then seem to be its own. Pure.
+ * each, over the whole rollout and over the last seconds. Each interval is compared with the same
+ * interval only, because a fault of the whole service may coincide with a larger share of the new
+ * version, and would then seem to be its own. For the same reason the interval that is not over yet
+ * is left out, and no single interval convicts: the fault may begin within it. Pure.
  *
- * @param recentSeconds number of last seconds that are compared by themselves, to find a version
- * that is bad from some moment on
+ * @param recent time that is compared by itself, to find a version that is bad from some moment on
  * @param decisiveFailures failures from which one target convicts its version by itself; fewer than
  * the bad answers after which a bad version may get no more requests
  */
 class VersionAnalysis(
-    private val recentSeconds: Long = RECENT_SECONDS,
+    private val recent: Duration = RECENT,
     private val decisiveFailures: Long = DECISIVE_FAILURES,
 ) {
     /**
@@ -24,11 +26,13 @@
      * so that answers whose times are unknown can be compared
      */
     fun verdict(evidence: RolloutEvidence, isShareConstant: Boolean): RolloutVerdict {
-        val recent = evidence.seconds.filterKeys { it > evidence.now - recentSeconds }
+        val over = evidence.intervals.filterKeys { it < evidence.now }
+        val recentCount = (recent / RolloutEvidence.INTERVAL).toLong()
+        val latest = over.filterKeys { it >= evidence.now - recentCount }
         val earlier = if (isShareConstant) evidence.earlier else emptyMap()
-        val whole = evidence.seconds +
+        val whole = over +
             if (earlier.isEmpty()) emptyMap() else mapOf(EARLIER to earlier)
-        val fault = fault(whole) ?: fault(recent) ?: sustainedFault(evidence.seconds)
+        val fault = fault(whole) ?: fault(latest) ?: sustainedFault(over)
         return when {
             fault != null -> RolloutVerdict.Bad(fault)
             evidence.trialTotal >= ENOUGH_ANSWERS -> RolloutVerdict.Good
@@ -36,16 +40,16 @@
         }
     }
 
-    private fun fault(seconds: Map<Long, Map<String, RouteEvidence>>): String? {
-        val routes = seconds.values.flatMapTo(LinkedHashSet()) { it.keys }
+    private fun fault(intervals: Map<Long, Map<String, RouteEvidence>>): String? {
+        val routes = intervals.values.flatMapTo(LinkedHashSet()) { it.keys }
         val answering = routes.filterNot { it.isGap }
-        val all = MatchedAnswers.of(seconds, answering.toSet())
+        val all = MatchedAnswers.of(intervals, answering.toSet())
         return failing(all)?.let { "$it on all routes" }
             ?: answering.firstNotNullOfOrNull { route ->
-                failing(MatchedAnswers.of(seconds, setOf(route)))?.let { "$it on route $route" }
+                failing(MatchedAnswers.of(intervals, setOf(route)))?.let { "$it on route $route" }
             }
             ?: routes.firstNotNullOfOrNull { route ->
-                slow(MatchedAnswers.of(seconds, setOf(route)))?.let { "$it on route $route" }
+                slow(MatchedAnswers.of(intervals, setOf(route)))?.let { "$it on route $route" }
             }
     }
 
@@ -53,10 +57,12 @@
         val failures = matched.trial.failures
         val total = matched.trial.total
         if (failures < MINIMUM_FAILURES) return null
-        val reference = upperBound(matched.referenceFailures, total, matched.referenceTotal)
+        val reference = upperBound(matched.referenceFailures, total, matched.referenceSize)
         val limit = FAILURE_RATIO * reference + FAILURE_MARGIN
         if (lowerBound(failures.toDouble(), total.toDouble()) <= limit) return null
-        val isOneTarget = isOneTarget(matched, limit, { it.failures.toDouble() }, { it.total })
+        val faults = { counts: AnswerCounts -> counts.failures.toDouble() }
+        if (!isInSeveralIntervals(matched, limit, faults, AnswerCounts::total)) return null
+        val isOneTarget = isOneTarget(matched, limit, faults, AnswerCounts::total)
         val share = failures.toDouble() / total
         val isDecisive = failures >= decisiveFailures && share > FAILURE_RATIO * reference
         if (isOneTarget && !isDecisive) return null
@@ -68,26 +74,24 @@
         val median = TimeClasses.median(matched.referenceTimes) ?: return null
         val limitClass = median + TimeClasses.classesOf(SLOW_RATIO)
         val slow = TimeClasses.above(matched.trial.times.map { it.toDouble() }, limitClass)
-        if (slow < MINIMUM_FAILURES) return null
+        if (slow < MINIMUM_FAILURES || matched.referenceSize < ENOUGH_TIMES) return null
         val reference = upperBound(
             TimeClasses.above(matched.referenceTimes, limitClass),
             total,
-            matched.referenceTotal,
+            matched.referenceSize,
         )
         val limit = minOf(FAILURE_RATIO * reference + SLOW_MARGIN, MEDIAN)
         if (lowerBound(slow, total.toDouble()) <= limit) return null
-        val isOneTarget = isOneTarget(
-            matched,
-            limit,
-            { counts -> TimeClasses.above(counts.times.map { it.toDouble() }, limitClass) },
-            { it.answers },
-        )
-        if (isOneTarget) return null
+        val faults = { counts: AnswerCounts ->
+            TimeClasses.above(counts.times.map { it.toDouble() }, limitClass)
+        }
+        if (!isInSeveralIntervals(matched, limit, faults, AnswerCounts::answers)) return null
+        if (isOneTarget(matched, limit, faults, AnswerCounts::answers)) return null
         return "${slow.toLong()} of $total answers took over $SLOW_RATIO times the median time, " +
             "${percent(reference)} of the other versions'"
     }
 
-    /** Whether one target has the faults, while others with as many answers are sound. */
+    /** Whether one target has the faults, while the others are sound or too few to tell. */
     private fun isOneTarget(
         matched: MatchedAnswers,
         limit: Double,
@@ -97,30 +101,44 @@
         val worst = matched.trialTargets.values.maxBy(faults)
         val rest = matched.trialTargets.values.filter { it !== worst }
         val restTotal = rest.sumOf(total)
-        if (restTotal < minOf(total(worst), SOUND_ANSWERS)) return false
-        return rest.sumOf(faults) <= limit * restTotal
+        if (restTotal == 0L) return total(worst) < ONLY_TARGET_ANSWERS
+        val restShare = rest.sumOf(faults) / restTotal
+        return Wilson.lower(restShare, restTotal.toDouble(), SOUND_DEVIATIONS) <= limit
+    }
+
+    /** Whether the faults are as clear without the interval that has the most. */
+    private fun isInSeveralIntervals(
+        matched: MatchedAnswers,
+        limit: Double,
+        faults: (AnswerCounts) -> Double,
+        total: (AnswerCounts) -> Long,
+    ): Boolean {
+        val worst = matched.trialIntervals.values.maxBy(faults)
+        val rest = matched.trialIntervals.values.filter { it !== worst }
+        val restFaults = rest.sumOf(faults)
+        return restFaults >= 2 && restFaults > limit * rest.sumOf(total)
     }
 
     /**
      * Once the new version gets all requests there is nothing to compare with, and a fault of the
-     * whole service looks the same. Such a fault ends after [SPELL_SECONDS]; a bad version stays.
+     * whole service looks the same. Such a fault ends after [LONGEST_SPELL]; a bad version stays.
      */
-    private fun sustainedFault(seconds: Map<Long, Map<String, RouteEvidence>>): String? {
-        val routes = seconds.values.flatMapTo(HashSet()) { it.keys }.filterNot { it.isGap }.toSet()
-        val matched = MatchedAnswers.of(seconds, routes)
+    private fun sustainedFault(intervals: Map<Long, Map<String, RouteEvidence>>): String? {
+        val routes = intervals.values.flatMapTo(HashSet()) { it.keys }.filterNot { it.isGap }.toSet()
+        val matched = MatchedAnswers.of(intervals, routes)
         val failing = matched.unmatched.entries.toList().takeLastWhile { (_, counts) ->
             counts.failures > 0 && counts.failures > UNMATCHED_SHARE * counts.total
         }
         val first = failing.firstOrNull() ?: return null
-        val span = failing.last().key - first.key + 1
+        val span = RolloutEvidence.INTERVAL * (failing.last().key - first.key + 1).toInt()
         val failures = failing.sumOf { it.value.failures }
-        if (span <= SPELL_SECONDS || failures < MINIMUM_FAILURES) return null
-        return "$failures answers failed within $span s without any of other versions"
+        if (span <= LONGEST_SPELL || failures < MINIMUM_FAILURES) return null
+        return "$failures answers failed within $span without any of other versions"
     }
 
-    private fun upperBound(expected: Double, total: Long, referenceTotal: Long): Double {
+    private fun upperBound(expected: Double, total: Long, referenceSize: Double): Double {
         if (total == 0L) return 0.0
-        return Wilson.upper(expected / total, referenceTotal.toDouble(), REFERENCE_DEVIATIONS)
+        return Wilson.upper(expected / total, referenceSize, REFERENCE_DEVIATIONS)
     }
 
     private fun lowerBound(count: Double, total: Double): Double =
@@ -131,7 +149,7 @@
 
     companion object {
         /** About the time in which a version that turns bad has to be found. */
-        const val RECENT_SECONDS = 3L
+        val RECENT = 3.seconds
 
         /** Half of the 50 bad answers after which the time to roll back runs. */
         const val DECISIVE_FAILURES = 25L
@@ -139,33 +157,45 @@
         /** Fewer failures may be chance. */
         const val MINIMUM_FAILURES = 5
 
-        /** Answers from which a version without a fault counts as good. */
-        private const val ENOUGH_ANSWERS = 30
+        /**
+         * Answers from which a version without a fault counts as good. A fifth of them failing is
+         * found in nearly all samples.
+         */
+        private const val ENOUGH_ANSWERS = 100
 
-        /** Answers that tell a sound target from one that fails in a fifth of them. */
-        private const val SOUND_ANSWERS = 20L
+        /** Answers of one target from which others would have answered as well, if there were any. */
+        private const val ONLY_TARGET_ANSWERS = 12L
+
+        /** A target with one chance failure in ten answers still counts as sound. */
+        private const val SOUND_DEVIATIONS = 2.0
 
         private const val FAILURE_RATIO = 2.0
         private const val FAILURE_MARGIN = 0.03
         private const val SLOW_RATIO = 2.5
+
+        /** Answers of other versions from which their median time is known well enough. */
+        private const val ENOUGH_TIMES = 20
         private const val SLOW_MARGIN = 0.1
 
         /** If more than half of the answers are slow, so is the median. */
         private const val MEDIAN = 0.5
 
-        /** One in 200 samples of a version at the limit is above it. */
-        private const val DEVIATIONS = 2.6
+        /**
+         * One in 2,000 samples of a version at the limit is above it. Each rollout is judged some
+         * hundred times, on several routes.
+         */
+        private const val DEVIATIONS = 3.3
 
         /** Keeps few answers of other versions from looking free of failures. */
         private const val REFERENCE_DEVIATIONS = 1.0
 
         /** Longer than the spells of about 4 s in which a whole service fails. */
-        private const val SPELL_SECONDS = 6L
+        private val LONGEST_SPELL = 6.seconds
 
         /** Less than a failing service, more than single failures. */
         private const val UNMATCHED_SHARE = 0.05
 
-        /** Key of the answers whose second is unknown. */
+        /** Key of the answers whose interval is unknown. */
         private const val EARLIER = -10L
     }
 }
