--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -103,8 +103,7 @@
     }
 
     /** Counts a slow request that got a second attempt, or did not because of a limit. */
-    fun secondAttempt(isAllowed: Boolean) =
-        countSecondAttempt(if (isAllowed) "sent" else "denied")
+    fun secondAttempt(isAllowed: Boolean) = countSecondAttempt(if (isAllowed) "sent" else "denied")
 
     /** Counts a second attempt by whether it [isAnswered] before the first one. */
     fun secondAttemptEnded(isAnswered: Boolean) =
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/StallDetector.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/StallDetector.kt
@@ -66,7 +66,11 @@
             is ConnectResult.Connected -> result.connection.cancel()
 
             is ConnectResult.Failed -> {
-                LOG.info("forwarder: event=stall target={} cause={}", target.name, result.cause.message)
+                LOG.info(
+                    "forwarder: event=stall target={} cause={}",
+                    target.name,
+                    result.cause.message,
+                )
                 selector.recordUnreachable(target.name)
                 pool.closeIdle(target.name)
             }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -160,8 +160,8 @@
     )
     val retryWindowSeconds: Double = 10.0,
     @Setting(
-        "Second attempts at slow targets, as a ratio to the repeatable requests of a service; none " +
-            "when 0.",
+        "Second attempts at slow targets, as a ratio to the repeatable requests of a service; " +
+            "none when 0.",
         minimum = 0.0,
         maximum = 1.0,
     )
