Test times of cold targets and callers that leave at their deadline

Two rules of the evidence had no test: times of cold targets do not count, and a caller that leaves when its time is over tells of a slow target. Also tests the expected prefill that is subtracted from the time to the first event.

--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RolloutEvidenceTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RolloutEvidenceTest.kt
@@ -110,6 +110,27 @@
             assertEquals(listOf(2, 2), found.values.map { it.times.sum() })
         }
 
+        @Test
+        fun `of cold targets have no time`() {
+            start(RequestKind.UNSAFE)
+            fixture.onLoop { fixture.node.selector.markCold(name, 1.minutes) }
+            fixture.exchange("ok-1")
+            assertEquals(listOf(VersionEvidence(1, "all", name, 1, 0)), evidence(outcomes = 1))
+        }
+
+        /** A caller whose time is over leaves before the forwarder's own timeout. */
+        @Test
+        fun `of callers that leave at their deadline are failures`() {
+            start(RequestKind.UNSAFE)
+            for ((identifier, wait) in listOf("silent-1" to 100L, "silent-2" to 1_000L)) {
+                fixture.connect().use { caller ->
+                    caller.write(ForwarderFixture.head(identifier, deadline = 1_040))
+                    Thread.sleep(wait)
+                }
+            }
+            assertEquals(listOf(1), evidence(outcomes = 1).map { it.failures })
+        }
+
         @Test
         fun `are reported with the revision and no more after the rollout`() {
             start(RequestKind.UNSAFE)
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/EvidenceCollector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/EvidenceCollector.kt
@@ -33,7 +33,10 @@
     fun recordTime(route: String, target: DiscoveredTarget, time: Duration) =
         change(route, target) { it.times[AnswerTimes.classOf(time)] += 1 }
 
-    /** Records the mean time between the events of a stream, apart from its first event. */
+    /**
+     * Records the mean time between the events of a stream, apart from its first event. The answer
+     * itself is counted under the name of the route only.
+     */
     fun recordGap(route: String, target: DiscoveredTarget, gap: Duration) =
         recordTime(route + GAP_SUFFIX, target, gap)
 
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/TargetSelectorTest.kt
@@ -112,6 +112,16 @@
 
     @Nested
     inner class Prompts {
+        /** Guards against new targets that seem slow because their caches are empty. */
+        @Test
+        fun `the expected prefill is that of the tokens that are not cached`() {
+            val selector = selector(target(1))
+            val first = selector.begin(TargetName("engines-1"), prompt("manual"))
+            val second = selector.begin(TargetName("engines-1"), prompt("manual", "other"))
+            assertEquals(425.milliseconds, selector.expectedPrefill(first))
+            assertEquals(25.milliseconds, selector.expectedPrefill(second))
+        }
+
         @Test
         fun `entries without load reports choose the same engine for a subject`() {
             val targets = (1..6).map { target(it) }.toTypedArray()
