--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
@@ -9,6 +9,7 @@
 import org.hibiscusproxy.consensus.StorageFailureException
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.LeaseSettings
+import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.ControlMessage
@@ -137,6 +138,10 @@
         return reply
     }
 
+    fun targets(targets: List<DiscoveredTarget>) {
+        if (isRunning) core.handle(ControllerInput.Targets(targets))
+    }
+
     fun operator(request: OperatorRequest): CompletableFuture<OperatorReply> {
         val reply = CompletableFuture<OperatorReply>()
         core.handle(ControllerInput.Operator(request, reply))
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/MatchedAnswers.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/MatchedAnswers.kt
@@ -106,12 +106,7 @@
          * Adds what [own], the others' answers on the route, let expect for [trial]. A few of [all],
          * on all routes, and of [typical], at all times, are added to them.
          */
-        fun add(
-            trial: AnswerCounts,
-            own: AnswerCounts,
-            all: AnswerCounts,
-            typical: AnswerCounts,
-        ) {
+        fun add(trial: AnswerCounts, own: AnswerCounts, all: AnswerCounts, typical: AnswerCounts) {
             val failing = all.failures.toDouble() / all.total
             val share = (own.failures + PRIOR_ANSWERS * failing) / (own.total + PRIOR_ANSWERS)
             failures += share * trial.total
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/VersionAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/VersionAnalysis.kt
@@ -124,7 +124,9 @@
      * whole service looks the same. Such a fault ends after [LONGEST_SPELL]; a bad version stays.
      */
     private fun sustainedFault(intervals: Map<Long, Map<String, RouteEvidence>>): String? {
-        val routes = intervals.values.flatMapTo(HashSet()) { it.keys }.filterNot { it.isGap }.toSet()
+        val routes = intervals.values.flatMapTo(HashSet()) {
+            it.keys
+        }.filterNot { it.isGap }.toSet()
         val matched = MatchedAnswers.of(intervals, routes)
         val failing = matched.unmatched.entries.toList().takeLastWhile { (_, counts) ->
             counts.failures > 0 && counts.failures > UNMATCHED_SHARE * counts.total
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/rollout/RolloutSimulation.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/rollout/RolloutSimulation.kt
@@ -125,8 +125,9 @@
         return count
     }
 
-    override fun toString() = "\nseed $seed rate ${service.rate}: ${rollout.phase} at $endedAt, ${rollout.reason}, " +
-        "50th of ${badAnswers.size} bad answers at $fiftiethBadAt"
+    override fun toString() =
+        "\nseed $seed rate ${service.rate}: ${rollout.phase} at $endedAt, ${rollout.reason}, " +
+            "50th of ${badAnswers.size} bad answers at $fiftiethBadAt"
 
     private inner class Forwarder(private val index: Int) {
         private val source = EvidenceSource(ProcessName("f$index"), Incarnation(1))
