--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -12,10 +13,14 @@
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.FleetInstant
 import org.hibiscusproxy.control.PublishRouting
+import org.hibiscusproxy.control.StartRollout
+import org.hibiscusproxy.forwarding.ForwardingService
 import org.hibiscusproxy.forwarding.PromptPart
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.ServiceName
+import org.hibiscusproxy.model.SoftwareVersion
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.FleetLoad
@@ -29,6 +34,7 @@
 import org.hibiscusproxy.protocol.RoutingUpdate
 import org.hibiscusproxy.protocol.SentPrompt
 import org.hibiscusproxy.protocol.TargetUse
+import org.hibiscusproxy.rollout.VersionEvidence
 import org.junit.jupiter.api.Nested
 
 /** Guards against lost, repeated or misdirected loads and prompts. */
@@ -40,9 +46,10 @@
         EntryFeed(state, time, { time.markNow().takeIf { isLeading } }, { emptyList() })
 
     /** Records the messages sent to an entry. */
-    private class Entry(name: String) : PeerSession {
+    private class Entry(name: String, incarnation: Long = 1) : PeerSession {
         override var isBacklogged = false
-        override val remote = Hello(ProcessName(name), DataCenterName("a"), Incarnation(1))
+        override val remote =
+            Hello(ProcessName(name), DataCenterName("a"), Incarnation(incarnation))
         private val received = mutableListOf<PeerMessage>()
 
         override fun send(message: PeerMessage) {
@@ -102,6 +109,62 @@
         }
     }
 
+    @Nested
+    inner class Rollouts {
+        private val service = ServiceName("s")
+        private val old = TargetName("old")
+
+        private fun start() {
+            val forwarded = ForwardingService(service, "/health", 10)
+            val configuration = RoutingConfiguration(1, services = listOf(forwarded))
+            val publication = PublishRouting(configuration, Payload.EMPTY, FleetInstant(0))
+            state.apply(1, ControlCodec.encode(publication))
+            feed.advance()
+            val order = StartRollout(service, SoftwareVersion("v2"), 12_000, FleetInstant(0))
+            state.apply(2, ControlCodec.encode(order))
+            feed.advance()
+        }
+
+        @Test
+        fun `are part of changes and of complete updates`() {
+            start()
+            val expected = state.routing.rollouts
+            assertEquals(1, expected.size)
+            assertEquals(expected, assertIs<RoutingChange>(entries[0].changes.last()).rollouts)
+            feed.subscribe(entries[0], RoutingRequest(0))
+            assertEquals(expected, assertIs<RoutingUpdate>(entries[0].changes.last()).rollouts)
+        }
+
+        @Test
+        fun `have moved once all entries applied them and no old target has requests`() {
+            fun hasMoved() = feed.hasMoved(5) { it == old }
+            assertFalse(hasMoved())
+            entries.forEach { feed.report(it, EntryLoad(emptyList(), revision = 5)) }
+            assertTrue(hasMoved())
+            feed.report(entries[0], EntryLoad(emptyList(), revision = 4))
+            assertFalse(hasMoved())
+            val use = TargetUse(old, 1)
+            feed.report(entries[0], EntryLoad(listOf(use), revision = 5))
+            assertFalse(hasMoved())
+            feed.disconnected(entries[0])
+            assertTrue(hasMoved())
+        }
+
+        @Test
+        fun `keep the counts of a former process and ignore late reports`() {
+            fun report(incarnation: Long, answers: Int) {
+                val session = Entry("entry", incarnation)
+                val evidence = VersionEvidence(1, "r", TargetName("new"), answers, 0)
+                feed.report(session, EntryLoad(emptyList(), evidence = listOf(evidence)))
+            }
+            report(incarnation = 1, answers = 3)
+            report(incarnation = 1, answers = 8)
+            report(incarnation = 1, answers = 5)
+            report(incarnation = 2, answers = 1)
+            assertEquals(9, feed.evidence.evidence(1).trialTotal)
+        }
+    }
+
     @Nested
     inner class `Revisions that newer ones replaced` {
         /** Bases from which an entry gets a difference after [revisions] with such documents. */
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/RolloutServiceTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/RolloutServiceTest.kt
@@ -13,6 +13,7 @@
 import kotlin.time.Duration.Companion.seconds
 import org.hibiscusproxy.control.RolloutOutcome
 import org.hibiscusproxy.rollout.RolloutPhase
+import org.hibiscusproxy.timeline.FleetEvent
 import org.junit.jupiter.api.Nested
 import org.slf4j.LoggerFactory
 
@@ -53,6 +54,9 @@
             val (phases, duration) = fleet.follow(15.seconds)
             assertEquals(RolloutPhase.entries - RolloutPhase.ROLLED_BACK, phases)
             assertTrue(duration < RolloutFleet.DURATION, "completed after $duration")
+            val events = checkNotNull(fleet.leader).events
+                .filterIsInstance<FleetEvent.RolloutPhaseEntered>()
+            assertEquals(phases, events.map { it.phase })
         }
 
         @Test
@@ -96,6 +100,10 @@
             val refused = assertIs<RoutingReply.RolloutRefused>(fleet.order("v3"))
             assertIs<RolloutOutcome.Conflict>(refused.outcome)
             assertEquals(1, fleet.read()?.number)
+            val status = checkNotNull(fleet.leader).operator(OperatorRequest.ReadStatus).get()
+            val report = assertIs<OperatorReply.Status>(status).report.rollouts.single()
+            assertEquals("trial", report.phase)
+            assertTrue(report.remainingMilliseconds in 1L..12_000L, "$report")
         }
     }
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
@@ -16,6 +16,7 @@
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.Incarnation
 import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.timeline.FleetEvent
 
 /**
  * A controller in a simulation that can be stopped, wiped and partitioned from the others.
@@ -31,6 +32,8 @@
     private val mayFound: Boolean = true,
     private val peer: (ProcessName) -> SimulatedController?,
 ) {
+    /** Events that this controller recorded. */
+    val events = mutableListOf<FleetEvent>()
     private var storage = emptyStorage()
     private lateinit var log: ReplicatedLog
     private var core = open()
@@ -67,7 +70,7 @@
             state,
             LeaseSettings(),
             network.time,
-            { },
+            events::add,
             membership,
             ::sendToPeer,
         )
