--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
@@ -9,12 +9,14 @@
 import org.hibiscusproxy.consensus.StorageFailureException
 import org.hibiscusproxy.control.ControlState
 import org.hibiscusproxy.control.LeaseSettings
+import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.Hello
 import org.hibiscusproxy.protocol.Incarnation
 import org.hibiscusproxy.protocol.PeerMessage
+import org.hibiscusproxy.timeline.FleetEvent
 
 /**
  * A controller in a simulation that can be stopped, wiped and partitioned from the others.
@@ -30,6 +32,8 @@
     private val mayFound: Boolean = true,
     private val peer: (ProcessName) -> SimulatedController?,
 ) {
+    /** Events that this controller recorded. */
+    val events = mutableListOf<FleetEvent>()
     private var storage = emptyStorage()
     private lateinit var log: ReplicatedLog
     private var core = open()
@@ -66,7 +70,7 @@
             state,
             LeaseSettings(),
             network.time,
-            { },
+            events::add,
             membership,
             ::sendToPeer,
         )
@@ -137,6 +141,10 @@
         return reply
     }
 
+    fun targets(targets: List<DiscoveredTarget>) {
+        if (isRunning) core.handle(ControllerInput.Targets(targets))
+    }
+
     fun operator(request: OperatorRequest): CompletableFuture<OperatorReply> {
         val reply = CompletableFuture<OperatorReply>()
         core.handle(ControllerInput.Operator(request, reply))
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RolloutTargets.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RolloutTargets.kt
@@ -96,19 +96,6 @@
     internal fun isExcluded(target: DiscoveredTarget): Boolean =
         services[target.service]?.isExcluded(target) == true
 
-    /**
-     * Returns those of [targets] that take part in their service. In a trial the idle targets of
-     * the new version don't: they would lower the mean load by which engines are bounded.
-     */
-    internal fun participants(service: ServiceName, targets: List<TargetState>): List<TargetState> {
-        val state = services[service] ?: return targets
-        val isTrial = state.rollout.phase == RolloutPhase.TRIAL
-        return targets.filter {
-            !state.isExcluded(it.listed) &&
-                !(isTrial && it.running == 0 && state.isExposed(it.listed))
-        }
-    }
-
     /**
      * Orders the [candidates] for [request].
      *
@@ -135,7 +122,10 @@
         val othersTake = pool.any { !state.isExposed(it.listed) && it.takes(phase, now) }
         val isPermitted = !(isContactLost && othersTake) &&
             state.limiter.permits(phase, request.isRetry, isBound, forwarders)
-        val canaries = exposed.filter { it.listed.name in state.canaries }
+        val canaryLoad = pool.sumOf { it.running } * CANARY_LOAD_MULTIPLE / pool.size.coerceAtLeast(1)
+        val canaries = exposed.filter {
+            it.listed.name in state.canaries && it.running < canaryLoad + CANARY_OFFSET_REQUESTS
+        }
         val groups = when {
             !isPermitted -> listOf(others)
             phase != RolloutPhase.TRIAL -> listOf(exposed, others)
@@ -190,5 +180,9 @@
     private companion object {
         /** A version turns out bad and is rolled back within a few seconds of such a message. */
         val CONTACT_LIMIT = 2.seconds
+
+        /** Keeps the few targets of a trial below the load bound of an engine. */
+        const val CANARY_LOAD_MULTIPLE = 1.5
+        const val CANARY_OFFSET_REQUESTS = 1.0
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -155,8 +155,8 @@
         val isEngine = services[request.service]?.engine != null
         val latency = latency(request.service)
         return if (prompt != null && isEngine) {
-            val pool = rollouts.participants(request.service, pool(request.service))
-            engines.choose(request, prompt, available, pool, latency, now)
+            // Idle targets of a version under trial count too: a bound is a multiple of the mean of all.
+            engines.choose(request, prompt, available, pool(request.service), latency, now)
         } else {
             leastLoaded.choose(request, available, latency, now)
         }
