Refuse the less urgent requests first while a service is short

Cause: a request was sent or refused when it arrived, whatever its rank, so a surge of one team or of the least urgent kind took room from the most urgent.

Change: each forwarder counts requests by rank and team and reports them while the targets are busy (EntryLoad.pressure, summed in FleetLoad.pressure). PriorityAdmission compares the demand of the fleet with what the usable targets can do (utilization law) and divides the capacity by water filling. TargetSelector.choose asks it once for each new request. PlacementRequest has rank and team.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -21,6 +21,7 @@
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.RoutingUpdate
 import org.hibiscusproxy.protocol.ServiceDemand
+import org.hibiscusproxy.protocol.ServicePressure
 import org.hibiscusproxy.protocol.TargetList
 import org.hibiscusproxy.protocol.TargetUse
 
@@ -83,6 +84,7 @@
         subscriber.reportedAt = time.markNow()
         val others = subscribers.values.filter { it !== subscriber }
         subscriber.demand = load.demand.associate { it.service to it.perSecond }
+        subscriber.pressure = load.pressure
         load.prompts.forEach { sent -> others.forEach { it.unsentPrompts.add(sent) } }
         load.rates.forEach { rate -> others.forEach { it.unsentRates.add(rate) } }
     }
@@ -166,7 +168,17 @@
         val connected = subscribers.keys.map { it.remote.process }
         val entries = entryCount.count(connected) ?: UNKNOWN_COUNT
         reporting.forEach {
-            it.send(FleetLoad(entries, it.withoutOwn(totals), demand = it.othersOf(demand)))
+            val pressure = reporting.filter { other ->
+                other !== it
+            }.flatMap { other -> other.pressure }
+            it.send(
+                FleetLoad(
+                    entries,
+                    it.withoutOwn(totals),
+                    demand = it.othersOf(demand),
+                    pressure = ServicePressure.sum(pressure),
+                ),
+            )
         }
     }
 
@@ -191,6 +203,7 @@
         private var sentLoad: FleetLoad? = null
         private var loadSentAt = time.markNow()
         var demand: Map<ServiceName, Double> = emptyMap()
+        var pressure: List<ServicePressure> = emptyList()
         val unsentPrompts = SentPromptQueue()
         val unsentRates = StatedRateQueue(time)
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -156,11 +156,15 @@
             remaining = remaining,
             excluded = triedTargets,
             versions = stream?.versions ?: VersionChoice.Any,
+            rank = team?.priority ?: currentRoute.priority,
+            team = team?.name,
         )
         when (val choice = node.selector.choose(request)) {
             is PlacementChoice.Chosen -> startAttempt(choice.target, choice.cachedAt)
-            is PlacementChoice.Refused ->
+            is PlacementChoice.Refused -> {
+                node.log.placementRefused(request.rank, choice.reason)
                 completeWithError(FinalReason.of(choice.reason), choice.retryAfter)
+            }
         }
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -124,6 +124,7 @@
             delay(REPORT_INTERVAL)
             val load = withContext(loop.asCoroutineDispatcher()) {
                 node.logRetries()
+                node.logShortages()
                 node.currentLoad()
             }
             feed.report(load)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -188,12 +188,16 @@
     /** Logs the retries since the last call, if enough time has passed. */
     fun logRetries() = retryLog.writeIfDue()
 
+    /** Logs the shortages of room that began or ended since the last call. */
+    fun logShortages() = selector.admission.takeChanges().forEach(log::shortageChanged)
+
     /** Load of this forwarder, and what it sent and learned, to be reported to the others. */
     fun currentLoad() = EntryLoad(
         selector.ownUsage(),
         selector.takeSentPrompts(),
         selector.takeChangedRates(),
         selector.ownDemand(),
+        pressure = selector.admission.report(),
     )
 
     private companion object {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -2,12 +2,15 @@
 
 import io.micrometer.core.instrument.MeterRegistry
 import java.util.concurrent.TimeUnit
+import kotlin.math.roundToInt
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
+import org.hibiscusproxy.admission.ShortageChange
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PromptPart
+import org.hibiscusproxy.forwarding.RefusalReason
 import org.hibiscusproxy.forwarding.StatedRate
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
@@ -129,6 +132,41 @@
         )
     }
 
+    /** Counts a request with [rank] for which no target was chosen because of [reason]. */
+    fun placementRefused(rank: Int, reason: RefusalReason) {
+        registry.counter(
+            "forwarder.placement.refusals",
+            "rank",
+            rank.toString(),
+            "reason",
+            reason.name.lowercase(),
+        ).increment()
+    }
+
+    /** Logs that a service became short of room, or has room again. */
+    fun shortageChanged(change: ShortageChange) = write {
+        val demand = change.demandPerSecond.roundToInt()
+        val capacity = change.capacityPerSecond.roundToInt()
+        when (change) {
+            is ShortageChange.Began -> LOG.info(
+                "forwarder: event=shortage-began service={} demand={} capacity={}",
+                change.service,
+                demand,
+                capacity,
+            )
+
+            is ShortageChange.Ended -> LOG.info(
+                "forwarder: event=shortage-ended service={} demand={} capacity={} refused={} " +
+                    "milliseconds={}",
+                change.service,
+                demand,
+                capacity,
+                change.refused,
+                change.duration.inWholeMilliseconds,
+            )
+        }
+    }
+
     private fun write(line: () -> Unit) {
         if (secondStart.elapsedNow() >= 1.seconds) {
             secondStart = timeSource.markNow()
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/PlacementRequest.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.Serializable
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.model.TeamName
 
 /** A part of a prompt. Prompts with the same leading parts share an engine's cached prefix. */
 @Serializable
@@ -34,6 +35,8 @@
  * @property remaining time until the caller or the route times out
  * @property excluded targets that were already tried
  * @property versions software versions whose targets may get the request
+ * @property rank rank of the request; 0 is the most urgent
+ * @property team team of the caller; null for callers without an access key
  */
 data class PlacementRequest(
     val service: ServiceName,
@@ -42,6 +45,8 @@
     val remaining: Duration,
     val excluded: Set<TargetName> = emptySet(),
     val versions: VersionChoice = VersionChoice.Any,
+    val rank: Int = 0,
+    val team: TeamName? = null,
 )
 
 /** Result of placing a request. */
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -5,6 +5,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
+import org.hibiscusproxy.admission.PriorityAdmission
+import org.hibiscusproxy.admission.RequestClass
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
@@ -17,7 +19,8 @@
 /**
  * Selects targets for requests, and keeps what is known of the targets. Of the targets that may get
  * a request now, [EngineSelector] selects among model engines and [LeastLoadedSelector] among others.
- * Requests that the targets cannot finish in time are refused immediately. Not thread-safe.
+ * Requests that the targets cannot finish in time are refused immediately; [PriorityAdmission]
+ * refuses the less urgent ones first. Not thread-safe.
  *
  * @param loadMultiple maximum requests of an engine, as a multiple of the mean of its service
  */
@@ -38,6 +41,9 @@
     private val engines = EngineSelector(loadMultiple, refusals)
     private val leastLoaded = LeastLoadedSelector(random, refusals)
 
+    /** Refuses less urgent requests while a service is short of room. */
+    val admission = PriorityAdmission(time, random)
+
     private val forwarderCount = ForwarderCount(time)
 
     /** Number of forwarders, including this one, as leaders reported; null before the first report. */
@@ -88,6 +94,7 @@
             }
         }
         demand.updateOthers(load.demand)
+        admission.updateOthers(load)
         load.rates.forEach { rate ->
             val statedAt = time.markNow() - rate.ageMilliseconds.milliseconds
             states[rate.target]?.recordStatedRate(rate.perSecond, statedAt)
@@ -113,6 +120,7 @@
         if (usable.isEmpty()) return refuseWithoutTarget(request, now)
         val healthy = usable.filter { !it.health.isSuspended(now) }
             .ifEmpty { listOf(earliestAvailable(usable)) }
+        admissionRefusal(request, healthy, now)?.let { return it }
         val share = demand.share(request.service, forwarders)
         val available = healthy.filter { it.canAccept(share, now) }
         if (available.isEmpty()) return refuseUntilAvailable(healthy, share, now)
@@ -123,10 +131,31 @@
             val pool = states.values.filter { it.listed.service == request.service }
             engines.choose(request, prompt, available, pool, latency, now)
         } else {
-            leastLoaded.choose(request, available, latency)
+            // What was admitted in a shortage is refused only if it cannot be answered at all.
+            val limit = if (admission.isShort(request.service)) request.remaining else null
+            leastLoaded.choose(
+                request.copy(objective = limit ?: request.objective),
+                available,
+                latency,
+            )
         }
     }
 
+    /** Refuses a new request for which [targets] have no room; null if it is admitted. */
+    private fun admissionRefusal(
+        request: PlacementRequest,
+        targets: List<TargetState>,
+        now: ComparableTimeMark,
+    ): PlacementChoice? {
+        val key = RequestClass(request.rank, request.team)
+        // What was begun is finished: neither another attempt nor the rest of a stream is refused.
+        val isBegun = request.excluded.isNotEmpty() || request.versions is VersionChoice.Only
+        val latency = latency(request.service)
+        val room = RoomEstimate.of(targets, services[request.service], latency, now)
+        return admission.refusal(request.service, key, room, request.objective, isBegun)
+            ?.let { refusals.unavailable(RefusalReason.OVERLOADED, it) }
+    }
+
     private fun refuseWithoutTarget(
         request: PlacementRequest,
         now: ComparableTimeMark,
@@ -160,6 +189,9 @@
     fun begin(target: TargetName, prompt: Prompt?): PlacedAttempt {
         val state = states[target]
         val uncached = if (prompt == null) 0 else state?.prefixCache?.uncachedTokens(prompt) ?: 0
+        if (prompt != null && state != null) {
+            admission.recordPrompt(state.listed.service, uncached)
+        }
         if (state != null) {
             state.ownRunning += 1
             state.ownPendingTokens += uncached
@@ -167,7 +199,13 @@
             state.takePermit()
             prompt?.let { recordPrompt(it, state) }
         }
-        return PlacedAttempt(target, state, uncached, time.markNow())
+        return PlacedAttempt(
+            target,
+            state,
+            uncached,
+            time.markNow(),
+            pendingTokens = state?.pendingTokens ?: 0,
+        )
     }
 
     private fun recordPrompt(prompt: Prompt, state: TargetState) {
@@ -184,6 +222,7 @@
         attempt.isAnswered = true
         attempt.state?.let { it.ownPendingTokens -= attempt.uncachedTokens }
         val service = attempt.state?.listed?.service ?: return
+        admission.recordPrefill(service, attempt.pendingTokens, attempt.startedAt.elapsedNow())
         latencies.getOrPut(service) { ServiceLatency() }
             .recordFirstPart(attempt.startedAt.elapsedNow(), attempt.uncachedTokens)
     }
@@ -199,6 +238,9 @@
         if (result == AttemptResult.ANSWERED) {
             latencies.getOrPut(state.listed.service) { ServiceLatency() }
                 .recordResponse(attempt.startedAt.elapsedNow())
+            val service = services[state.listed.service]
+            val limit = RoomEstimate.limit(state, service, time.markNow())
+            if (limit == null) admission.recordAnswer(state.listed.service)
         }
     }
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -114,6 +114,7 @@
  * @property demand requests for services of which a target states a rate
  * @property revision routing revision that the forwarder has applied; 0 if it does not tell
  * @property evidence counts of running rollouts that changed since the last report
+ * @property pressure demand for services whose room may be short
  */
 @Serializable
 @SerialName("fl")
@@ -124,6 +125,7 @@
     @SerialName("d") val demand: List<ServiceDemand> = emptyList(),
     @SerialName("v") val revision: Long = 0,
     @SerialName("e") val evidence: List<VersionEvidence> = emptyList(),
+    @SerialName("c") val pressure: List<ServicePressure> = emptyList(),
 ) : ControlMessage()
 
 /**
@@ -134,6 +136,7 @@
  * @property prompts shared parts that the other forwarders sent since the last message
  * @property rates rates of targets that the other forwarders learned of since the last message
  * @property demand sum of the demand of all other forwarders
+ * @property pressure sum of the demand of all other forwarders for services whose room may be short
  */
 @Serializable
 @SerialName("fo")
@@ -143,4 +146,5 @@
     @SerialName("p") val prompts: List<SentPrompt> = emptyList(),
     @SerialName("r") val rates: List<TargetRate> = emptyList(),
     @SerialName("d") val demand: List<ServiceDemand> = emptyList(),
+    @SerialName("c") val pressure: List<ServicePressure> = emptyList(),
 ) : ControlMessage()
