--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -154,10 +154,13 @@
             return completeWithError(FinalReason.TIMEOUT, ErrorResponses.BUSY_RETRY_AFTER)
         }
         fingerprints.admit()?.let { return completeWithError(FinalReason.CRASHES_TARGETS, it) }
-        when (val choice = node.selector.choose(placementRequest())) {
+        val request = placementRequest()
+        when (val choice = node.selector.choose(request)) {
             is PlacementChoice.Chosen -> startAttempt(choice.target, choice.cachedAt)
-            is PlacementChoice.Refused ->
+            is PlacementChoice.Refused -> {
+                node.log.placementRefused(request.rank, choice.reason)
                 completeWithError(FinalReason.of(choice.reason), choice.retryAfter)
+            }
         }
     }
 
@@ -170,6 +173,9 @@
             remaining = remaining,
             excluded = triedTargets,
             versions = stream?.versions ?: VersionChoice.Any,
+            rank = team?.priority ?: currentRoute.priority,
+            team = team?.name,
+            isRetry = attempts > 0,
         )
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -132,6 +132,7 @@
             delay(REPORT_INTERVAL)
             val load = withContext(loop.asCoroutineDispatcher()) {
                 node.logCounts()
+                node.logShortages()
                 node.currentLoad()
             }
             feed.report(load)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -218,6 +218,9 @@
         rolloutLog.writeIfDue(rollouts.isRunning && rollouts.isContactLost)
     }
 
+    /** Logs the shortages of room that began or ended since the last call. */
+    fun logShortages() = selector.admission.takeChanges().forEach(log::shortageChanged)
+
     /** Load of this forwarder, and what it sent and learned, to be reported to the others. */
     fun currentLoad() = EntryLoad(
         selector.ownUsage(),
@@ -226,6 +229,7 @@
         selector.ownDemand(),
         revision,
         evidence.takeChanged(),
+        pressure = selector.admission.report(),
     )
 
     private companion object {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RolloutTargets.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/RolloutTargets.kt
@@ -122,7 +122,8 @@
         val othersTake = pool.any { !state.isExposed(it.listed) && it.takes(phase, now) }
         val isPermitted = !(isContactLost && othersTake) &&
             state.limiter.permits(phase, request.isRetry, isBound, forwarders)
-        val canaryLoad = pool.sumOf { it.running } * CANARY_LOAD_MULTIPLE / pool.size.coerceAtLeast(1)
+        val canaryLoad =
+            pool.sumOf { it.running } * CANARY_LOAD_MULTIPLE / pool.size.coerceAtLeast(1)
         val canaries = exposed.filter {
             it.listed.name in state.canaries && it.running < canaryLoad + CANARY_OFFSET_REQUESTS
         }
@@ -175,8 +176,6 @@
         if (order.isHeldBack) onRequest(rollout, ExposureDecision.HELD_BACK)
     }
 
-    private val PlacementRequest.isRetry: Boolean get() = excluded.isNotEmpty()
-
     private companion object {
         /** A version turns out bad and is rolled back within a few seconds of such a message. */
         val CONTACT_LIMIT = 2.seconds
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -5,6 +5,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
+import org.hibiscusproxy.admission.PriorityAdmission
+import org.hibiscusproxy.admission.RequestClass
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
@@ -19,7 +21,8 @@
 /**
  * Selects targets for requests, and keeps what is known of the targets. Of the targets that may get
  * a request now, [EngineSelector] selects among model engines and [LeastLoadedSelector] among others.
- * Requests that the targets cannot finish in time are refused immediately. Not thread-safe.
+ * Requests that the targets cannot finish in time are refused immediately; [PriorityAdmission]
+ * refuses the less urgent ones first. Not thread-safe.
  *
  * @param loadMultiple maximum requests of an engine, as a multiple of the mean of its service
  * @param dataCenter data centre of this forwarder, which is preferred among equal targets
@@ -46,6 +49,9 @@
 
     private val speeds = SpeedLearning()
 
+    /** Refuses less urgent requests while a service is short of room. */
+    val admission = PriorityAdmission(time, random)
+
     private val forwarderCount = ForwarderCount(time)
 
     /** Number of forwarders, including this one, as leaders reported; null before the first report. */
@@ -102,6 +108,7 @@
             }
         }
         demand.updateOthers(load.demand)
+        admission.updateOthers(load)
         load.rates.forEach { rate ->
             val statedAt = time.markNow() - rate.ageMilliseconds.milliseconds
             states[rate.target]?.recordStatedRate(rate.perSecond, statedAt)
@@ -125,6 +132,8 @@
         demand.record(request.service)
         val pool = states.values.filter { it.isOpen(request.service, now) }
         val usable = pool.filter { it.listed.name !in request.excluded }
+        val healthy = usable.filter { !it.health.isSuspended(now) }
+        if (healthy.isNotEmpty()) admissionRefusal(request, healthy, now)?.let { return it }
         val order = rollouts.order(request, usable, pool, forwarders, now)
         return choose(request, order, now).also { rollouts.record(request, order, it) }
     }
@@ -158,10 +167,32 @@
             // Idle targets of a version under trial count too: a bound is a multiple of the mean of all.
             engines.choose(request, prompt, available, pool(request.service), latency, now)
         } else {
-            leastLoaded.choose(request, available, latency, now)
+            // What was admitted in a shortage is refused only if it cannot be answered at all.
+            val limit = if (admission.isShort(request.service)) request.remaining else null
+            leastLoaded.choose(
+                request.copy(objective = limit ?: request.objective),
+                available,
+                latency,
+                now,
+            )
         }
     }
 
+    /** Refuses a new request for which [targets] have no room; null if it is admitted. */
+    private fun admissionRefusal(
+        request: PlacementRequest,
+        targets: List<TargetState>,
+        now: ComparableTimeMark,
+    ): PlacementChoice? {
+        val key = RequestClass(request.rank, request.team)
+        // What was begun is finished: neither another attempt nor the rest of a stream is refused.
+        val isBegun = request.isRetry || request.versions is VersionChoice.Only
+        val latency = latency(request.service)
+        val room = RoomEstimate.of(targets, services[request.service], latency, now)
+        return admission.refusal(request.service, key, room, request.objective, isBegun)
+            ?.let { refusals.unavailable(RefusalReason.OVERLOADED, it) }
+    }
+
     private fun refuseWithoutTarget(
         request: PlacementRequest,
         now: ComparableTimeMark,
@@ -198,6 +229,9 @@
     fun begin(target: TargetName, prompt: Prompt?): PlacedAttempt {
         val state = states[target]
         val uncached = if (prompt == null) 0 else state?.prefixCache?.uncachedTokens(prompt) ?: 0
+        if (prompt != null && state != null) {
+            admission.recordPrompt(state.listed.service, uncached)
+        }
         val expected = state?.let {
             val service = it.listed.service
             val read = uncached.takeIf { services[service]?.engine != null }
@@ -221,6 +255,7 @@
             prompt,
             added,
             isCold,
+            pendingTokens = state?.pendingTokens ?: 0,
         )
     }
 
@@ -230,6 +265,7 @@
         attempt.isAnswered = true
         attempt.state?.let { it.ownPendingTokens -= attempt.uncachedTokens }
         val service = attempt.state?.listed?.service ?: return
+        admission.recordPrefill(service, attempt.pendingTokens, attempt.startedAt.elapsedNow())
         latencies.getOrPut(service) { ServiceLatency() }
             .recordFirstPart(attempt.startedAt.elapsedNow(), attempt.uncachedTokens)
         if (services[service]?.engine != null) speeds.record(attempt, pool(service))
@@ -249,8 +285,10 @@
         if (result == AttemptResult.ANSWERED) {
             latencies.getOrPut(state.listed.service) { ServiceLatency() }
                 .recordResponse(attempt.startedAt.elapsedNow())
-            val service = state.listed.service
-            if (services[service]?.engine == null) speeds.record(attempt, pool(service))
+            val service = services[state.listed.service]
+            if (service?.engine == null) speeds.record(attempt, pool(state.listed.service))
+            val limit = RoomEstimate.limit(state, service, time.markNow())
+            if (limit == null) admission.recordAnswer(state.listed.service)
         }
     }
 
