Know the capacity also where each forwarder gets few requests

Cause: a forwarder with fewer than five answers in the last seconds reported none, so that with many forwarders and few requests the sum was too low and the capacity with it.

Change: answers are reported as they are, and only the sum must be large enough to tell.

EntryFeedTest checks the sums, PriorityAdmissionTest that attempts that follow are not judged again.

--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/EntryFeedTest.kt
@@ -16,7 +16,10 @@
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ProcessName
+import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
+import org.hibiscusproxy.model.TeamName
+import org.hibiscusproxy.protocol.ClassDemand
 import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.FleetLoad
 import org.hibiscusproxy.protocol.Hello
@@ -28,6 +31,7 @@
 import org.hibiscusproxy.protocol.RoutingRequest
 import org.hibiscusproxy.protocol.RoutingUpdate
 import org.hibiscusproxy.protocol.SentPrompt
+import org.hibiscusproxy.protocol.ServicePressure
 import org.hibiscusproxy.protocol.TargetUse
 import org.junit.jupiter.api.Nested
 
@@ -195,6 +199,40 @@
     }
 
     /** Guards against a count that lacks entries, which would use more than their shares. */
+
+    /** Guards against forwarders that count their own requests twice when they divide a service. */
+    @Nested
+    inner class DemandByRank {
+        private fun pressure(perMinute: Int, isBusy: Boolean = false) = ServicePressure(
+            ServiceName("orders"),
+            isBusy,
+            answersPerMinute = perMinute,
+            prefillMilliseconds = 0,
+            demand = listOf(ClassDemand(0, TeamName("a"), perMinute)),
+        )
+
+        @Test
+        fun `of the others is summed by rank and team`() {
+            feed.report(entries[0], EntryLoad(emptyList(), pressure = listOf(pressure(100))))
+            feed.report(entries[1], EntryLoad(emptyList(), pressure = listOf(pressure(20, true))))
+            feed.report(entries[2], EntryLoad(emptyList()))
+            advanceInterval()
+            assertEquals(listOf(pressure(20, true)), entries[0].loads.last().pressure)
+            assertEquals(listOf(pressure(100)), entries[1].loads.last().pressure)
+            assertEquals(listOf(pressure(120, true)), entries[2].loads.last().pressure)
+        }
+
+        @Test
+        fun `ends when no other entry reports it`() {
+            feed.report(entries[0], EntryLoad(emptyList(), pressure = listOf(pressure(100))))
+            feed.report(entries[1], EntryLoad(emptyList()))
+            advanceInterval()
+            feed.report(entries[0], EntryLoad(emptyList()))
+            advanceInterval()
+            assertEquals(emptyList(), entries[1].loads.last().pressure)
+        }
+    }
+
     @Nested
     inner class CountOfEntries {
         private fun countTold(): Int {
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/ServiceAdmission.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/ServiceAdmission.kt
@@ -204,7 +204,7 @@
         val own = throughput.answersPerSecond(now) * factor
         val others = (known?.answersPerMinute ?: 0) / SECONDS_PER_MINUTE
         val answers = own + others
-        if (answers <= 0) return 0.0
+        if (answers < MINIMUM_ANSWERS_PER_SECOND) return 0.0
         val othersPrefill =
             (known?.prefillMilliseconds ?: 0) / SECONDS_PER_MINUTE / MILLISECONDS_PER_SECOND
         val prefill = (own * throughput.prefillSeconds(now) + othersPrefill) / answers
@@ -266,6 +266,9 @@
         const val LEAST_CORRECTION = 0.85
         const val LARGEST_CORRECTION = 1.5
 
+        /** Fewer answers of all forwarders do not show the capacity. */
+        const val MINIMUM_ANSWERS_PER_SECOND = 1.5
+
         /** Deviation from the places at which the capacity is not corrected. */
         const val TOLERATED_USE = 0.15
         val MAXIMUM_CORRECTION_TIME = 100.milliseconds
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/ServiceThroughput.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/admission/ServiceThroughput.kt
@@ -53,10 +53,9 @@
         prefillSeconds += elapsed.toDouble(DurationUnit.SECONDS)
     }
 
-    /** Answers a second to this forwarder; 0 if there are too few to tell. */
+    /** Answers a second to this forwarder. */
     fun answersPerSecond(now: ComparableTimeMark): Double {
         decay(now)
-        if (answers < MINIMUM_ANSWERS) return 0.0
         return answers / observedSeconds.coerceAtLeast(MINIMUM_SECONDS)
     }
 
@@ -90,8 +89,6 @@
         val AVERAGING_TIME = 3.seconds
         val MAXIMUM_OBSERVATION = 1.seconds
 
-        /** Fewer answers do not show the mean. */
-        const val MINIMUM_ANSWERS = 5.0
         const val MINIMUM_SECONDS = 0.1
 
         /** Shorter prompts measure the engine's step time instead of its prefill speed. */
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/PriorityAdmissionTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/PriorityAdmissionTest.kt
@@ -1,9 +1,14 @@
 package org.hibiscusproxy.admission
 
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+import org.hibiscusproxy.model.ServiceName
 import org.junit.jupiter.api.Nested
 
 /**
@@ -68,6 +73,34 @@
         }
     }
 
+    /** Guards against refusing what was begun, and against waste of work by that. */
+    @Nested
+    inner class AttemptsThatFollow {
+        @Test
+        fun `are admitted in a shortage`() {
+            val time = TestTimeSource()
+            val admission = PriorityAdmission(time, Random(1))
+            val service = ServiceName("orders")
+            val room = ServiceRoom(3, 3.0, emptyList(), slots = 18, running = 40, Duration.ZERO)
+
+            fun refuse(isDecided: Boolean) = admission.refusal(
+                service,
+                RequestClass(2, null),
+                room,
+                130.milliseconds,
+                isDecided,
+            )
+            repeat(300) {
+                time += 10.milliseconds
+                admission.recordAnswer(service)
+                repeat(3) { refuse(isDecided = false) }
+            }
+            assertTrue(admission.isShort(service))
+            assertTrue(List(100) { refuse(isDecided = false) }.any { it != null })
+            assertTrue(List(100) { refuse(isDecided = true) }.all { it == null })
+        }
+    }
+
     @Nested
     inner class Engines {
         @Test
@@ -99,6 +132,20 @@
             assertNone(faults)
         }
 
+        /** Guards against a capacity that is not known where each forwarder gets few requests. */
+        @Test
+        fun `is kept with few requests at each of many forwarders`() {
+            val faults = listOf(1.3, 2.0).flatMap { load ->
+                ShortageFixture.SEEDS.flatMap { seed ->
+                    val simulation = ShortageFixture.fewRequests(load, seed)
+                    simulation.play(4.seconds)
+                    simulation.play(20.seconds)
+                    simulation.faults("few requests at load $load seed $seed")
+                }
+            }
+            assertNone(faults)
+        }
+
         @Test
         fun `is kept while the least urgent kind surges`() {
             val faults = ShortageFixture.SEEDS.flatMap { seed ->
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/ShortageFixture.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/ShortageFixture.kt
@@ -27,6 +27,17 @@
     /** Three kinds of requests with four teams each, [load] times the capacity together. */
     fun simulation(load: Double, seed: Int) = AdmissionSimulation(seed, groups()).scaled(load)
 
+    /** The same with few requests at each of many forwarders: 100 a second are the capacity. */
+    fun fewRequests(load: Double, seed: Int) = AdmissionSimulation(
+        seed,
+        groups(),
+        forwarderCount = 30,
+        slots = 2,
+        queueSize = 8,
+        work = 60.milliseconds,
+        objective = 400.milliseconds,
+    ).scaled(load)
+
     /** The same at engines whose batch slots are the limit. */
     fun engines(load: Double, seed: Int) = AdmissionSimulation(
         seed,
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/WrongRefusalTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/admission/WrongRefusalTest.kt
@@ -22,5 +22,18 @@
             }
             assertEquals(0, wrong.sum(), "$wrong")
         }
+
+        @Test
+        fun `leaves no half of the slots free with few requests at each forwarder`() {
+            val wrong = listOf(1.3, 2.0).flatMap { load ->
+                ShortageFixture.SEEDS.map { seed ->
+                    val simulation = ShortageFixture.fewRequests(load, seed)
+                    simulation.play(24.seconds)
+                    println(simulation.describe("few requests at load $load seed $seed"))
+                    simulation.wrongRefusals
+                }
+            }
+            assertEquals(0, wrong.sum(), "$wrong")
+        }
     }
 }
