--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -167,14 +167,7 @@
             // Idle targets of a version under trial count too: a bound is a multiple of the mean of all.
             engines.choose(request, prompt, available, pool(request.service), latency, now)
         } else {
-            // What was admitted in a shortage is refused only if it cannot be answered at all.
-            val limit = if (admission.isShort(request.service)) request.remaining else null
-            leastLoaded.choose(
-                request.copy(objective = limit ?: request.objective),
-                available,
-                latency,
-                now,
-            )
+            leastLoaded.choose(request.withLenientObjective(latency), available, latency, now)
         }
     }
 
@@ -193,6 +186,17 @@
             ?.let { refusals.unavailable(RefusalReason.OVERLOADED, it) }
     }
 
+    /**
+     * Returns the request such that it is refused only if it cannot be answered before its timeout,
+     * while the admission limits what is in progress. Refusals by the expected wait would undo its
+     * order, and are wrong where requests take less time than the counts of others are old.
+     */
+    private fun PlacementRequest.withLenientObjective(latency: ServiceLatency): PlacementRequest {
+        val hasOthers = (reportedForwarders ?: 1) > 1
+        val areCountsOld = hasOthers && latency.responseTime < COUNTS_AGE
+        return if (areCountsOld || admission.isShort(service)) copy(objective = remaining) else this
+    }
+
     private fun refuseWithoutTarget(
         request: PlacementRequest,
         now: ComparableTimeMark,
@@ -405,5 +409,8 @@
 
         /** Leaves room for requests that other forwarders have sent since their last report. */
         const val FREE_SLOT_SHARE = 0.7
+
+        /** Least age of the load of other forwarders. */
+        val COUNTS_AGE = 250.milliseconds
     }
 }
