Bound the memory and connections that callers use in a forwarder

Cause: bodies grew in buffers without a common bound, pipelined requests were queued up to 1,024 messages of any size, requests went on being served while their caller read no answer, and connections were accepted until the descriptors ran out. Memory then ran out in whichever thread came next.

Change: CallerMemoryBudget decides what is given up; a quarter of the heap by default. Bodies are collected in pieces instead of buffers that are copied to grow. Reading stops at 64 KB of pipelined data, and a request whose caller has not read the answer before waits. CallerAdmission closes the connection that has been idle longest. A signal counts also when its log line cannot be written, and a thread that waits from the start on halts a process whose shutdown hangs.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/command/RunCommand.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.runBlocking
 import org.hibiscusproxy.daemon.logging.LogSetup
 import org.hibiscusproxy.daemon.process.EndCause
+import org.hibiscusproxy.daemon.process.EndDeadline
 import org.hibiscusproxy.daemon.process.FailureHandler
 import org.hibiscusproxy.daemon.process.FleetProcess
 import org.hibiscusproxy.daemon.process.FleetProcessFactory
@@ -44,6 +45,7 @@
             end(ExitCode.REFUSED, cause.text)
         }
         Thread.setDefaultUncaughtExceptionHandler(failures)
+        EndDeadline(signals.end, EndDeadline.of(settings)).start()
         try {
             run(
                 settings,
@@ -51,8 +53,11 @@
                 FleetProcessFactory(settings, adapters, failures::onRoleFailure),
             )
         } catch (failure: Throwable) {
-            logger.error("process: Uncaught failure.", failure)
-            end(ExitCode.REFUSED, "uncaught ${failure.javaClass.simpleName}")
+            try {
+                logger.error("process: Uncaught failure.", failure)
+            } finally {
+                end(ExitCode.REFUSED, "uncaught ${failure.javaClass.simpleName}")
+            }
         }
     }
 
@@ -134,8 +139,12 @@
 
     /** Ends the process with [code] and logs [cause]. */
     private fun end(code: ExitCode, cause: String): Nothing {
-        logger.info("process: Ends with exit code {}, cause=\"{}\".", code.number, cause)
-        Runtime.getRuntime().halt(code.number)
+        // Without memory the line cannot be written; the process has to end all the same.
+        try {
+            logger.info("process: Ends with exit code {}, cause=\"{}\".", code.number, cause)
+        } finally {
+            Runtime.getRuntime().halt(code.number)
+        }
         error("the process goes on after its end")
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -1,8 +1,8 @@
 package org.hibiscusproxy.daemon.forwarding
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -34,7 +34,8 @@
 
 /**
  * A connection from a caller. It reads a complete request, passes it to an [Exchange] and writes
- * the response. Pipelined requests are queued until the response is complete.
+ * the response. Pipelined requests are queued until the response is complete; when too many bytes
+ * wait, reading stops. All that it holds counts toward the memory budget of the node.
  */
 internal class CallerConnection(
     private val node: ForwardingNode,
@@ -46,11 +47,17 @@
     /** When the heads of the queued requests and of the present one arrived. */
     private val arrivals = ArrayDeque<ComparableTimeMark>()
     private var head: HttpRequest? = null
-    private var body: ByteBuf? = null
+    private var body: BodyBuffer? = null
+    private val holding = node.memory.budget.open(this)
+    private var queuedBytes = 0L
+    private var exchangeBytes = 0L
     private var exchange: Exchange? = null
     private var isClosing = false
     private var isKeepAlive = true
-    private var lastProgress: ComparableTimeMark = node.time.markNow()
+
+    /** When a part of a request or the end of an answer was seen last. */
+    var lastProgress: ComparableTimeMark = node.time.markNow()
+        private set
     private var idleTimer: ScheduledFuture<*>? = null
 
     /** Whether no request is in progress or being received. */
@@ -70,12 +77,25 @@
             return
         }
         if (message is HttpRequest) arrivals.addLast(node.time.markNow())
-        if (exchange != null || queuedMessages.isNotEmpty()) {
-            queuedMessages.addLast(message)
-            if (queuedMessages.size > MAXIMUM_QUEUED_MESSAGES) channel.close()
-        } else {
-            read(message)
-        }
+        val mustWait = exchange != null || queuedMessages.isNotEmpty() || !channel.isWritable
+        if (mustWait) queue(message) else read(message)
+    }
+
+    private fun queue(message: HttpObject) {
+        queuedMessages.addLast(message)
+        queuedBytes += message.heldBytes
+        if (queuedMessages.size > MAXIMUM_QUEUED_MESSAGES) channel.close()
+        if (queuedBytes > MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = false
+        updateHolding()
+        node.memory.shed(holding)
+    }
+
+    private val HttpObject.heldBytes: Long
+        get() = MESSAGE_BYTES + ((this as? HttpContent)?.content()?.readableBytes() ?: 0)
+
+    private fun updateHolding() {
+        val pending = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L
+        holding.update(body?.allocated ?: 0L, exchangeBytes + queuedBytes, pending)
     }
 
     private fun read(message: HttpObject) {
@@ -94,7 +114,7 @@
     private fun accept(message: HttpObject) {
         if (message is HttpRequest) {
             head = message
-            body = Unpooled.buffer()
+            body = BodyBuffer()
             isKeepAlive = HttpUtil.isKeepAlive(message)
             if (HttpUtil.is100ContinueExpected(message)) {
                 channel.writeAndFlush(
@@ -104,19 +124,42 @@
         }
         if (message is HttpContent) {
             val collected = body ?: return
-            collected.writeBytes(message.content())
-            if (collected.readableBytes() > limits.bodyBytes) {
+            collected.add(message.content())
+            if (collected.size > limits.bodyBytes) {
                 return rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             }
-            if (message is LastHttpContent) startExchange()
+            updateHolding()
+            node.memory.shed(holding)
+            if (message is LastHttpContent && !isClosing) startExchange()
+        }
+    }
+
+    /** Refuses the request that is being received, because the memory is needed for others. */
+    fun shedBody(status: HttpResponseStatus) {
+        if (exchange != null || isClosing) return
+        val reason = FinalReason.CALLER_MEMORY
+        val response = if (status == HttpResponseStatus.REQUEST_TIMEOUT) {
+            ErrorResponses.failure(status, reason, ErrorResponses.NOT_RUN)
+        } else {
+            ErrorResponses.refusal(reason, ErrorResponses.MEMORY_RETRY_AFTER)
         }
+        rejectAndClose(response)
+    }
+
+    /** Closes the connection, which is idle or whose caller does not read, for the sake of others. */
+    fun closeForOthers() {
+        isClosing = true
+        channel.close()
     }
 
     private fun startExchange() {
         val request = checkNotNull(head) { "request body without request headers" }
-        val bytes = body ?: Unpooled.EMPTY_BUFFER
+        val received = checkNotNull(body) { "request without a body buffer" }
+        exchangeBytes = received.allocated
+        val bytes = received.finish()
         head = null
         body = null
+        updateHolding()
         val next = Exchange(node, this, request, bytes, arrivals.removeFirst())
         exchange = next
         node.activeExchanges += 1
@@ -148,7 +191,18 @@
         body?.release()
         body = null
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        write(response).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    /** Writes [message] and counts what the caller has not read. */
+    private fun write(message: HttpObject): ChannelFuture {
+        val written = channel.writeAndFlush(message)
+        updateHolding()
+        if (!written.isDone) {
+            written.addListener { updateHolding() }
+            node.memory.shed(holding)
+        }
+        return written
     }
 
     /** Whether the write buffer has space; false while the caller reads too slowly. */
@@ -164,17 +218,17 @@
             HttpUtil.setTransferEncodingChunked(copy, true)
         }
         setConnectionHeader(copy)
-        channel.writeAndFlush(copy)
+        write(copy)
     }
 
     /** Sends [bytes] of the body; takes ownership of the buffer. */
     fun writeContent(bytes: ByteBuf) {
-        channel.writeAndFlush(DefaultHttpContent(bytes))
+        write(DefaultHttpContent(bytes))
     }
 
     /** Completes a streamed response. */
     fun finish() {
-        val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        val written = write(LastHttpContent.EMPTY_LAST_CONTENT)
         // The headers may have been sent before draining began.
         if (node.isDraining) isKeepAlive = false
         endExchange()
@@ -184,7 +238,7 @@
     /** Sends a complete response that the forwarder generated itself. */
     fun writeResponse(response: DefaultFullHttpResponse) {
         setConnectionHeader(response)
-        val written = channel.writeAndFlush(response)
+        val written = write(response)
         endExchange()
         if (!isKeepAlive) written.addListener(ChannelFutureListener.CLOSE) else readQueuedMessages()
     }
@@ -222,14 +276,20 @@
     private fun endExchange() {
         if (exchange != null) node.activeExchanges -= 1
         exchange = null
+        exchangeBytes = 0
         lastProgress = node.time.markNow()
+        updateHolding()
     }
 
     private fun readQueuedMessages() {
         try {
-            while (exchange == null && queuedMessages.isNotEmpty()) {
-                read(queuedMessages.removeFirst())
+            while (exchange == null && queuedMessages.isNotEmpty() && channel.isWritable) {
+                val message = queuedMessages.removeFirst()
+                queuedBytes -= message.heldBytes
+                read(message)
             }
+            updateHolding()
+            if (queuedBytes <= MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = true
         } catch (failure: Throwable) {
             // The caller is a step of the earlier request, whose guard would not answer this one.
             endAfter(failure)
@@ -238,16 +298,19 @@
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         exchange?.onCallerWritabilityChanged(channel.isWritable)
+        if (channel.isWritable && exchange == null && !isClosing) readQueuedMessages()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         idleTimer?.cancel(false)
         queuedMessages.forEach(ReferenceCountUtil::release)
         queuedMessages.clear()
+        queuedBytes = 0
         body?.release()
         body = null
         val activeExchange = exchange
         endExchange()
+        holding.release()
         activeExchange?.onCallerDisconnected()
         onClosed(this)
     }
@@ -292,6 +355,12 @@
 
         /** Limit for messages of pipelined requests; a connection that exceeds it is closed. */
         const val MAXIMUM_QUEUED_MESSAGES = 1_024
+
+        /** Bytes of pipelined requests after which the connection is not read. */
+        const val MAXIMUM_QUEUED_BYTES = 65_536L
+
+        /** Memory of a queued message besides its content. */
+        const val MESSAGE_BYTES = 512L
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
         val MINIMUM_CHECK_INTERVAL = 100.milliseconds
         val MAXIMUM_CHECK_INTERVAL = 1_000.milliseconds
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ErrorResponses.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ErrorResponses.kt
@@ -27,6 +27,9 @@
 
     /** A fully loaded target typically frees a slot within this time. */
     val BUSY_RETRY_AFTER = 150.milliseconds
+
+    /** Unfinished bodies that stop the others are given up well within this time. */
+    val MEMORY_RETRY_AFTER = 1_000.milliseconds
     private const val OUTCOME_HEADER = "X-Hibiscus-Outcome"
     private const val STREAM_HEADER = "X-Hibiscus-Stream"
     private const val RESTART = "restart"
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/FinalReason.kt
@@ -64,6 +64,9 @@
     /** The target failed a repeatable request, and no further target may be tried. */
     TARGET_FAILED("target-failed"),
 
+    /** The memory for callers is in use, and the body was not complete. */
+    CALLER_MEMORY("caller-memory"),
+
     /** An exception was thrown while the request was handled. */
     INTERNAL_FAILURE("internal-failure"),
     ;
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -82,6 +82,10 @@
         Gauge.builder("forwarder.exchanges") {
             node.activeExchanges.toDouble()
         }.register(context.registry)
+        Gauge.builder("forwarder.memory.bytes") { node.memory.budget.usedBytes.toDouble() }
+            .register(context.registry)
+        Gauge.builder("forwarder.connections") { node.admission.connections.size.toDouble() }
+            .register(context.registry)
         Gauge.builder("forwarder.routing.revision") { routingRevision.toDouble() }
             .register(context.registry)
         val paths = setOf(readinessPath, "/ready")
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -8,6 +8,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.hibiscusproxy.daemon.settings.ForwarderSettings
+import org.hibiscusproxy.forwarding.CallerMemoryBudget
 import org.hibiscusproxy.forwarding.CrashObserver
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.RefusedRequests
@@ -41,6 +42,16 @@
     val random = Random.Default
     val selector = TargetSelector(settings.loadMultiple, time, random)
     val log = RequestLog(registry, time)
+    val memory = CallerMemory(
+        settings.callerMemoryBytes
+            ?: CallerMemoryBudget.defaultBytes(Runtime.getRuntime().maxMemory()),
+        log,
+        time,
+    )
+    val admission = CallerAdmission(
+        settings.maximumCallerConnections ?: CallerAdmission.defaultMaximum(OpenFileLimit.read()),
+        log,
+    )
     val pool = TargetPool(loop, wire, log)
     val crashes = CrashObserver(time)
     val refusals = RefusedRequests(time, random)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
@@ -21,7 +21,7 @@
     private val group: EventLoopGroup,
     private val node: ForwardingNode,
 ) {
-    private val callers = HashSet<CallerConnection>()
+    private val statusChannels = ArrayDeque<Channel>()
     private val listeners = ArrayList<Channel>()
     private var callerListener: CallerListener? = null
 
@@ -29,9 +29,12 @@
     fun listenForCallers(address: NetworkAddress): NetworkAddress {
         val listener = bind(address) { channel ->
             val limits = node.routes?.configuration?.limits ?: CallerLimits()
-            val caller = CallerConnection(node) { callers.remove(it) }
-            callers.add(caller)
-            channel.pipeline().addLast(codec(limits.headerBytes), caller)
+            val caller = CallerConnection(node, node.admission::remove)
+            if (node.admission.admit(caller)) {
+                channel.pipeline().addLast(codec(limits.headerBytes), caller)
+            } else {
+                channel.close()
+            }
         }
         callerListener = listener as CallerListener
         return address.copy(port = (listener.localAddress() as java.net.InetSocketAddress).port)
@@ -39,7 +42,14 @@
 
     /** @throws java.io.IOException when the address cannot be used */
     fun listenForStatus(address: NetworkAddress, handler: StatusHandler) {
-        bind(address) { it.pipeline().addLast(codec(MAXIMUM_STATUS_HEADER_BYTES), handler) }
+        bind(address) { channel ->
+            if (statusChannels.size >= MAXIMUM_STATUS_CONNECTIONS) {
+                statusChannels.removeFirst().close()
+            }
+            statusChannels.addLast(channel)
+            channel.closeFuture().addListener { statusChannels.remove(channel) }
+            channel.pipeline().addLast(codec(MAXIMUM_STATUS_HEADER_BYTES), handler)
+        }
     }
 
     /** Stops accepting connections from callers, after those in the kernel's queue. */
@@ -58,12 +68,12 @@
      * connections are left. Called on the event loop.
      */
     fun closeIdle(minimum: Duration): Int {
-        callers.toList().forEach { it.closeIfIdle(minimum) }
-        return callers.size
+        node.admission.connections.toList().forEach { it.closeIfIdle(minimum) }
+        return node.admission.connections.size
     }
 
     /** Answers all requests in progress and returns their number. Called on the event loop. */
-    fun endRequests(): Int = callers.toList().count { it.endRequest() }
+    fun endRequests(): Int = node.admission.connections.toList().count { it.endRequest() }
 
     fun close() = listeners.forEach { it.close() }
 
@@ -95,6 +105,9 @@
         /** Holds a burst of new connections; a full queue would delay them by a second. */
         const val ACCEPT_BACKLOG = 1_024
         const val MAXIMUM_STATUS_HEADER_BYTES = 8_192
+
+        /** The platform and operators use a few; the oldest is closed for a new one. */
+        const val MAXIMUM_STATUS_CONNECTIONS = 32
         val LOG: Logger = LoggerFactory.getLogger(ForwardingServer::class.java)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -129,6 +129,21 @@
         )
     }
 
+    /** Records that callers held [used] bytes and what [kind] was given up for others. */
+    fun memoryShed(kind: String, bytes: Long, used: Long) {
+        registry.counter("forwarder.memory.shed", "kind", kind).increment()
+        write {
+            LOG.info("forwarder: event=memory-shed kind={} bytes={} used={}", kind, bytes, used)
+        }
+    }
+
+    /** Records that one of [open] connections, or a new one, was closed at the limit. */
+    fun connectionClosed(open: Int, isNew: Boolean) {
+        val kind = if (isNew) "new" else "idle"
+        registry.counter("forwarder.connections.closed", "kind", kind).increment()
+        write { LOG.info("forwarder: event=connection-limit open={} closed={}", open, kind) }
+    }
+
     private fun write(line: () -> Unit) {
         if (secondStart.elapsedNow() >= 1.seconds) {
             secondStart = timeSource.markNow()
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/ProcessSignals.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/process/ProcessSignals.kt
@@ -36,8 +36,13 @@
     }
 
     override fun handle(signal: Signal) {
-        record(signal.name)
-        if (signal.name == RELOAD) reloads.release() else end.make(EndCause.Signalled(signal.name))
+        // Without memory the line cannot be written; the signal has to count all the same.
+        try {
+            record(signal.name)
+        } finally {
+            val isReload = signal.name == RELOAD
+            if (isReload) reloads.release() else end.make(EndCause.Signalled(signal.name))
+        }
     }
 
     /**
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -165,6 +165,21 @@
         maximum = 100.0,
     )
     val loadMultiple: Double = 2.0,
+    @Setting(
+        "Memory for bodies, pipelined requests and unread answers of all callers; null for a " +
+            "quarter of the maximum heap, at least 6291456.",
+        unit = "bytes",
+        minimum = 1_048_576.0,
+        maximum = 1e12,
+    )
+    val callerMemoryBytes: Long? = null,
+    @Setting(
+        "Maximum number of open connections of callers; null for half of the process's limit of " +
+            "open descriptors less 200.",
+        minimum = 1.0,
+        maximum = 1_000_000.0,
+    )
+    val maximumCallerConnections: Int? = null,
 )
 
 /** Settings of the sidecar role. */
