--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/Handshake.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/Handshake.kt
@@ -49,22 +49,23 @@
         )
     }
 
-    /** Returns null when the peer did not prove that it holds the key or did not send [Hello]. */
+    /**
+     * Returns null when the peer did not prove that it holds the key or did not send [Hello]. Until
+     * the proof, only the bytes of the handshake are read from [socket]; [open] opens its channels.
+     */
     suspend fun accept(
-        input: ByteReadChannel,
-        output: ByteWriteChannel,
+        socket: RawSocket,
+        open: () -> Pair<ByteReadChannel, ByteWriteChannel>,
         onProgress: () -> Unit,
     ): Session? {
-        if (!readMagic(input)) return null
-        val peerNonce = input.readBytes(NONCE_BYTES)
+        if (!socket.read(MAGIC.size).contentEquals(MAGIC)) return null
+        val peerNonce = socket.read(NONCE_BYTES)
         val ownNonce = newNonce()
-        output.writeFully(MAGIC)
-        output.writeFully(ownNonce)
-        output.writeFully(key.derive(ACCEPTOR_PROOF, peerNonce, ownNonce))
-        output.flush()
-        val proof = input.readBytes(PROOF_BYTES)
+        socket.write(MAGIC + ownNonce + key.derive(ACCEPTOR_PROOF, peerNonce, ownNonce))
+        val proof = socket.read(PROOF_BYTES)
         val expectedProof = key.derive(CONNECTOR_PROOF, peerNonce, ownNonce)
         if (!MessageDigest.isEqual(proof, expectedProof)) return null
+        val (input, output) = open()
         return exchangeHello(
             FrameReader(
                 input,
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransport.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/KtorPeerTransport.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
@@ -11,6 +12,7 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.micrometer.core.instrument.MeterRegistry
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
@@ -47,6 +49,8 @@
     private val selector = SelectorManager(dispatcher)
     private val counters = TransportCounters(registry)
     private val encoder = MessageEncoder()
+    private val loggedAt = AtomicLong()
+    private val pending = PendingHandshakes<AutoCloseable>(settings.pendingHandshakes)
 
     override suspend fun connect(address: NetworkAddress): Result<PeerConnection, ConnectFailure> {
         val socket = try {
@@ -110,12 +114,23 @@
                 delay(ACCEPT_RETRY_DELAY)
                 continue
             }
-            listenerScope.launch { handleConnection(socket, handle) }
+            // Before the coroutine starts, since a crowd is accepted faster than coroutines start.
+            val entry = AutoCloseable { socket.close() }
+            if (pending.add(entry)) counters.refused(FrameRefusal.TOO_MANY_HANDSHAKES)
+            listenerScope.launch { handleConnection(socket, entry, handle) }
         }
     }
 
-    private suspend fun handleConnection(socket: Socket, handle: suspend (PeerConnection) -> Unit) {
-        val outcome = performHandshake(socket, isConnector = false)
+    private suspend fun handleConnection(
+        socket: Socket,
+        entry: AutoCloseable,
+        handle: suspend (PeerConnection) -> Unit,
+    ) {
+        val outcome = try {
+            performHandshake(socket, isConnector = false)
+        } finally {
+            pending.remove(entry)
+        }
         if (outcome !is HandshakeOutcome.Connected) return
         outcome.connection.use { connection ->
             try {
@@ -149,7 +164,7 @@
         val completed = session
         if (completed == null) {
             counters.refused(refusal)
-            LOG.warn("transport: handshake with {} failed: {}", socket.remoteAddressText(), refusal)
+            logFailure(socket, refusal)
             return HandshakeOutcome.Failed(refusal)
         }
         val connection =
@@ -157,19 +172,29 @@
         return HandshakeOutcome.Connected(connection)
     }
 
+    /** Logs a failed handshake, at most one in [LOG_INTERVAL]; all are counted. */
+    private fun logFailure(socket: Socket, refusal: FrameRefusal) {
+        val now = System.nanoTime()
+        val last = loggedAt.get()
+        if (last != 0L && now - last < LOG_INTERVAL.inWholeNanoseconds) return
+        if (!loggedAt.compareAndSet(last, now)) return
+        LOG.warn("transport: handshake with {} failed: {}", socket.remoteAddressText(), refusal)
+    }
+
     private suspend fun exchangeHandshake(
         socket: Socket,
         isConnector: Boolean,
         liveness: LivenessMonitor,
     ): Handshake.Session? {
         val handshake = Handshake(key, hello, settings)
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel(autoFlush = false)
+        val open = { socket.openReadChannel() to socket.openWriteChannel(autoFlush = false) }
         return try {
             if (isConnector) {
+                val (input, output) = open()
                 handshake.connect(input, output, liveness::recordReceived)
             } else {
-                handshake.accept(input, output, liveness::recordReceived)
+                val raw = RawSocket(selector, socket as Selectable)
+                handshake.accept(raw, open, liveness::recordReceived)
             }
         } catch (failure: Exception) {
             currentCoroutineContext().ensureActive()
@@ -189,6 +214,9 @@
     private companion object {
         /** Prevents a busy loop when the process is out of file descriptors. */
         val ACCEPT_RETRY_DELAY = 50.milliseconds
+
+        /** Strangers that connect all the time would otherwise fill the log. */
+        val LOG_INTERVAL = 50.milliseconds
         val LOG: Logger = LoggerFactory.getLogger(KtorPeerTransport::class.java)
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/TransportCounters.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/TransportCounters.kt
@@ -13,6 +13,9 @@
     /** The handshake did not complete in time. */
     HANDSHAKE_TIMEOUT,
 
+    /** The connection was closed for a newer one before it had authenticated. */
+    TOO_MANY_HANDSHAKES,
+
     /** The tag does not match: frames were corrupted, replayed, lost or reordered. */
     BAD_TAG,
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/TransportSettings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/TransportSettings.kt
@@ -14,6 +14,8 @@
  * @property incomingMessages messages buffered for the receiver before reading pauses
  * @property heartbeatInterval idle time after which a heartbeat is sent; null disables heartbeats
  *   and silence detection
+ * @property pendingHandshakes accepted connections that have not authenticated; more than the
+ *   processes of a fleet that may connect at once
  * @property silenceLimit time without received bytes after which a connection is closed
  */
 data class TransportSettings(
@@ -24,6 +26,7 @@
     val incomingMessages: Int = 64,
     val heartbeatInterval: Duration? = 1.seconds,
     val silenceLimit: Duration = 3.seconds,
+    val pendingHandshakes: Int = 64,
 ) {
     companion object {
         /**
