--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/administration/AdministrationServer.kt
@@ -1,7 +1,7 @@
 package org.hibiscusproxy.daemon.administration
 
 import io.javalin.Javalin
-import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.hibiscusproxy.daemon.controller.OperatorAdmission
 import org.hibiscusproxy.daemon.openListener
 import org.hibiscusproxy.daemon.process.MetricsPage
 import org.hibiscusproxy.daemon.startOrStop
@@ -9,7 +9,7 @@
 
 /**
  * Serves `/health` (liveness), `/ready` (503 unless the process accepts new work) and `/metrics`
- * (Prometheus text format) on a small dedicated thread pool.
+ * (Prometheus text format) on threads and to a number of connections of its own.
  */
 class AdministrationServer(
     private val address: NetworkAddress,
@@ -20,7 +20,7 @@
 
     private fun createServer(): Javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
-        config.jetty.threadPool = QueuedThreadPool(MAXIMUM_THREADS, 1)
+        OperatorAdmission(maximumBodyBytes = 0).configure(config.jetty)
         config.routes.get("/health") { it.result("ok\n") }
         config.routes.get("/ready") { context ->
             val ready = isReady()
@@ -43,8 +43,6 @@
     }
 
     private companion object {
-        // Jetty needs an acceptor, a selector and at least one thread that serves requests.
-        const val MAXIMUM_THREADS = 6
         const val METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
     }
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorAdmission.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorAdmission.kt
@@ -50,7 +50,6 @@
                     ) {
                         server.connectors.filterIsInstance<AbstractConnector>().forEach {
                             it.addBean(this@OperatorAdmission)
-                            it.idleTimeout = BODY_LIMIT.inWholeMilliseconds
                         }
                     }
                 },
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/OperatorServer.kt
@@ -3,12 +3,13 @@
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
 import io.javalin.http.Context
+import io.javalin.http.HttpResponseException
+import io.javalin.http.HttpStatus
 import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
-import org.eclipse.jetty.util.thread.QueuedThreadPool
 import org.hibiscusproxy.consensus.MembershipChange
 import org.hibiscusproxy.control.ChangeCommand
 import org.hibiscusproxy.control.ChangeIdentifier
@@ -37,6 +38,7 @@
     private val submit: (OperatorRequest) -> CompletableFuture<OperatorReply>,
 ) : AutoCloseable {
     private var server: Javalin? = null
+    private val admission = OperatorAdmission(MAXIMUM_BODY_BYTES)
 
     /** Address that the server is bound to. */
     val address: NetworkAddress get() = listen.copy(
@@ -56,9 +58,12 @@
     private fun configure(config: JavalinConfig) {
         config.startup.showJavalinBanner = false
         config.http.maxRequestSize = MAXIMUM_BODY_BYTES
-        config.jetty.threadPool = QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS)
+        admission.configure(config.jetty)
         val routes = config.routes
-        routes.before(::authenticate)
+        routes.before { context ->
+            admission.withBody(context) { authenticate(context, it) }
+        }
+        routes.after(admission::endAnswer)
         routes.post("/objects", ::publish)
         routes.get("/state") { answer(it, OperatorRequest.ReadState) }
         routes.post("/data-centers/{name}/{state}", ::setDataCenter)
@@ -70,6 +75,13 @@
         routes.exception(OperatorCallException::class.java) { exception, context ->
             write(context, OperatorError(exception.type, exception.message.orEmpty()))
         }
+        routes.exception(HttpResponseException::class.java) { failure, context ->
+            if (failure.status == HttpStatus.SERVICE_UNAVAILABLE.code) {
+                context.header("Retry-After", OperatorAdmission.RETRY_AFTER)
+            }
+            write(context, OperatorError(OperatorErrorType.BAD_REQUEST, failure.message.orEmpty()))
+            context.status(failure.status)
+        }
         routes.exception(Exception::class.java) { exception, context ->
             LOG.error("controller: call {} {} failed", context.method(), context.path(), exception)
             write(context, OperatorError(OperatorErrorType.INTERNAL, "internal error"))
@@ -82,7 +94,8 @@
         }
     }
 
-    private fun authenticate(context: Context) {
+    private fun authenticate(context: Context, body: ByteArray) {
+        context.attribute(BODY, body)
         val query = context.queryString()?.let { "?$it" }.orEmpty()
         val call = SignedCall(
             context.method().name,
@@ -92,7 +105,7 @@
             context.header("Host").orEmpty(),
         )
         val signature = context.header(SignedCall.SIGNATURE_HEADER).orEmpty()
-        val refusal = verifier.verify(call, signature, context.bodyAsBytes()) ?: return
+        val refusal = verifier.verify(call, signature, body) ?: return
         LOG.warn("controller: call from {} refused: {}", context.ip(), refusal.message)
         throw OperatorCallException(OperatorErrorType.NOT_AUTHENTICATED, refusal.message)
     }
@@ -230,7 +243,8 @@
     }
 
     private fun <T> body(context: Context, serializer: KSerializer<T>): T = try {
-        OperatorJson.format.decodeFromString(serializer, context.body())
+        val body = context.attribute<ByteArray>(BODY) ?: ByteArray(0)
+        OperatorJson.format.decodeFromString(serializer, body.decodeToString())
     } catch (exception: SerializationException) {
         throw badRequest(exception.message.orEmpty())
     } catch (exception: IllegalArgumentException) {
@@ -257,8 +271,9 @@
     private companion object {
         const val MAXIMUM_BODY_BYTES = 8L * 1024 * 1024
         const val MAXIMUM_WAIT_SECONDS = 60.0
-        const val MAXIMUM_THREADS = 16
-        const val MINIMUM_THREADS = 4
+
+        /** Attribute of a call that holds its body. */
+        const val BODY = "body"
         const val NOT_FOUND = 404
         const val MAXIMUM_VALUE_CHARACTERS = 4_096
         val KIND_PATTERN = Regex("[a-z0-9-]{1,100}")
