--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/VersionRecord.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/VersionRecord.kt
@@ -9,7 +9,8 @@
  * Records the outcome of an attempt of [exchange] as evidence about the software version of
  * [target]: the time to the first event and between the events of a stream, and the whole time of
  * other answers. Times of cold targets and those that a slowly reading caller determined do not
- * count.
+ * count, nor those to the first event of a prompt that its target had to read or copy: the caches
+ * of new targets are empty, and the time for a long prompt is known too roughly.
  */
 internal class VersionRecord(
     private val exchange: Exchange,
@@ -39,9 +40,11 @@
         val now = node.time.markNow()
         if (events == 0) {
             firstEventAt = now
-            recordTime { name, sent ->
-                val prefill = node.selector.expectedPrefill(placed)
-                node.evidence.recordTime(name, target, now - sent - prefill)
+            if (node.selector.isMostlyCached(placed)) {
+                recordTime { name, sent ->
+                    val prefill = node.selector.expectedPrefill(placed)
+                    node.evidence.recordTime(name, target, now - sent - prefill)
+                }
             }
         }
         events = total
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -371,6 +371,10 @@
         it.acceptance(time.markNow()) is Acceptance.Open && !rollouts.isExcluded(it.listed)
     } == true
 
+    /** Whether the target of [attempt] had most of the prompt cached. */
+    fun isMostlyCached(attempt: PlacedAttempt): Boolean =
+        attempt.uncachedTokens <= MOSTLY_CACHED_TOKENS
+
     /** Expected time for prefilling the tokens of [attempt] that were not cached. */
     fun expectedPrefill(attempt: PlacedAttempt): Duration =
         attempt.state?.let { latency(it.listed.service).prefillTime(attempt.uncachedTokens) }
@@ -407,6 +411,9 @@
         /** Used until a controller reports the count; high, to limit the load on cold targets. */
         const val ASSUMED_FORWARDERS = 16
 
+        /** Prompts have parts of their own that are always read. */
+        const val MOSTLY_CACHED_TOKENS = 1_000L
+
         /** Leaves room for requests that other forwarders have sent since their last report. */
         const val FREE_SLOT_SHARE = 0.7
 
