--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/MatchedAnswers.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/MatchedAnswers.kt
@@ -70,8 +70,7 @@
                     evidence.trial.forEach { (target, counts) ->
                         trialTargets.merge(target, counts, AnswerCounts::plus)
                     }
-                    val own = around(interval) { intervals[it]?.get(route)?.others }
-                    expected.add(trial, own, around, typical.getValue(route))
+                    expected.add(trial, evidence.others, around, typical.getValue(route))
                 }
             }
             return MatchedAnswers(
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/RolloutEvidence.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/RolloutEvidence.kt
@@ -50,7 +50,7 @@
     companion object {
         /**
          * Twice the time between a forwarder's reports. Longer ones mix the answers before and during
-         * a fault of the whole service.
+         * a fault of the whole service; shorter ones have too few answers at 20 requests a second.
          */
         val INTERVAL = 500.milliseconds
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/VersionAnalysis.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/rollout/VersionAnalysis.kt
@@ -9,7 +9,8 @@
  * each, over the whole rollout and over the last seconds. Each interval is compared with the same
  * interval only, because a fault of the whole service may coincide with a larger share of the new
  * version, and would then seem to be its own. For the same reason the interval that is not over yet
- * is left out, and no single interval convicts: the fault may begin within it. Pure.
+ * is left out, and a single interval convicts only if the difference is large: the fault may begin
+ * within it. Pure.
  *
  * @param recent time that is compared by itself, to find a version that is bad from some moment on
  * @param decisiveFailures failures from which one target convicts its version by itself; fewer than
@@ -59,10 +60,15 @@
         if (failures < MINIMUM_FAILURES) return null
         val reference = upperBound(matched.referenceFailures, total, matched.referenceSize)
         val limit = FAILURE_RATIO * reference + FAILURE_MARGIN
-        if (lowerBound(failures.toDouble(), total.toDouble()) <= limit) return null
+        val lowest = lowerBound(failures.toDouble(), total.toDouble())
+        if (lowest <= limit) return null
         val faults = { counts: AnswerCounts -> counts.failures.toDouble() }
-        if (!isInSeveralIntervals(matched, limit, faults, AnswerCounts::total)) return null
-        val isOneTarget = isOneTarget(matched, limit, faults, AnswerCounts::total)
+        val isClear =
+            failures >= CLEAR_FAILURES && lowest > CLEAR_RATIO * reference + FAILURE_MARGIN
+        val isLasting = isInSeveralIntervals(matched, limit, faults, AnswerCounts::total)
+        if (!isClear && !isLasting) return null
+        val isOneTarget =
+            isOneTarget(matched, limit, FAILURES_ELSEWHERE, faults, AnswerCounts::total)
         val share = failures.toDouble() / total
         val isDecisive = failures >= decisiveFailures && share > FAILURE_RATIO * reference
         if (isOneTarget && !isDecisive) return null
@@ -86,7 +92,7 @@
             TimeClasses.above(counts.times.map { it.toDouble() }, limitClass)
         }
         if (!isInSeveralIntervals(matched, limit, faults, AnswerCounts::answers)) return null
-        if (isOneTarget(matched, limit, faults, AnswerCounts::answers)) return null
+        if (isOneTarget(matched, limit, SLOW_ELSEWHERE, faults, AnswerCounts::answers)) return null
         return "${slow.toLong()} of $total answers took over $SLOW_RATIO times the median time, " +
             "${percent(reference)} of the other versions'"
     }
@@ -95,6 +101,7 @@
     private fun isOneTarget(
         matched: MatchedAnswers,
         limit: Double,
+        minimumElsewhere: Int,
         faults: (AnswerCounts) -> Double,
         total: (AnswerCounts) -> Long,
     ): Boolean {
@@ -102,8 +109,10 @@
         val rest = matched.trialTargets.values.filter { it !== worst }
         val restTotal = rest.sumOf(total)
         if (restTotal == 0L) return total(worst) < ONLY_TARGET_ANSWERS
-        val restShare = rest.sumOf(faults) / restTotal
-        return Wilson.lower(restShare, restTotal.toDouble(), SOUND_DEVIATIONS) <= limit
+        val restFaults = rest.sumOf(faults)
+        val restShare = restFaults / restTotal
+        return restFaults < minimumElsewhere ||
+            Wilson.lower(restShare, restTotal.toDouble(), SOUND_DEVIATIONS) <= limit
     }
 
     /** Whether the faults are as clear without the interval that has the most. */
@@ -116,7 +125,7 @@
         val worst = matched.trialIntervals.values.maxBy(faults)
         val rest = matched.trialIntervals.values.filter { it !== worst }
         val restFaults = rest.sumOf(faults)
-        return restFaults >= 2 && restFaults > limit * rest.sumOf(total)
+        return restFaults >= MINIMUM_FAULTS_BEFORE && restFaults > limit * rest.sumOf(total)
     }
 
     /**
@@ -168,10 +177,27 @@
         /** Answers of one target from which others would have answered as well, if there were any. */
         private const val ONLY_TARGET_ANSWERS = 12L
 
+        /** Failures at targets other than the worst; a single one may be chance. */
+        private const val FAILURES_ELSEWHERE = 2
+
+        /** Slow answers at targets other than the worst; sound ones have more of them. */
+        private const val SLOW_ELSEWHERE = 3
+
+        /** Faults in intervals other than the worst; a single one may be chance. */
+        private const val MINIMUM_FAULTS_BEFORE = 2
+
         /** A target with one chance failure in ten answers still counts as sound. */
-        private const val SOUND_DEVIATIONS = 2.0
+        private const val SOUND_DEVIATIONS = 2.5
 
         private const val FAILURE_RATIO = 2.0
+
+        /**
+         * One interval convicts with this many failures and a share so far above the others' that a
+         * fault of the whole service would have to begin just before the version's answers. Many
+         * requests may wait for a version that is listed late.
+         */
+        private const val CLEAR_FAILURES = 10
+        private const val CLEAR_RATIO = 3.0
         private const val FAILURE_MARGIN = 0.03
         private const val SLOW_RATIO = 2.5
 
