Take the number of descriptors from the settings of the instance

The default of the connection limit was read from the system, which does not know the limit of the users' platform: forwarders closed connections beyond 16.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -65,7 +65,8 @@
         time,
     )
     val admission = CallerAdmission(
-        settings.maximumCallerConnections ?: CallerAdmission.defaultMaximum(OpenFileLimit.read()),
+        settings.maximumCallerConnections
+            ?: CallerAdmission.defaultMaximum(settings.maximumDescriptors ?: OpenFileLimit.read()),
         log,
     )
     val pool = TargetPool(loop, wire, log)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -192,6 +192,12 @@
         maximum = 1e12,
     )
     val callerMemoryBytes: Long? = null,
+    @Setting(
+        "Number of descriptors that the process may open; null for the limit of the system.",
+        minimum = 64.0,
+        maximum = 1_000_000.0,
+    )
+    val maximumDescriptors: Int? = null,
     @Setting(
         "Maximum number of open connections of callers; null for half of the process's limit of " +
             "open descriptors less 200.",
