--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -18,6 +18,7 @@
 import org.hibiscusproxy.forwarding.PlacementRequest
 import org.hibiscusproxy.forwarding.TeamAccess
 import org.hibiscusproxy.forwarding.VersionChoice
+import org.hibiscusproxy.forwarding.hasFreeSlots
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/StallDetector.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/StallDetector.kt
@@ -8,6 +8,7 @@
 import kotlin.time.TimeSource
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.TargetSelector
+import org.hibiscusproxy.forwarding.recordUnreachable
 import org.hibiscusproxy.model.TargetName
 import org.slf4j.LoggerFactory
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetStatements.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetStatements.kt
@@ -3,6 +3,9 @@
 import org.hibiscusproxy.forwarding.LoadStatement
 import org.hibiscusproxy.forwarding.StatedPause
 import org.hibiscusproxy.forwarding.StatedRate
+import org.hibiscusproxy.forwarding.markCold
+import org.hibiscusproxy.forwarding.recordLeaving
+import org.hibiscusproxy.forwarding.recordPause
 import org.hibiscusproxy.model.TargetName
 
 /** Records what [target] states about itself in the heads of its responses. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/VersionRecord.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/VersionRecord.kt
@@ -4,6 +4,9 @@
 import kotlin.time.Duration
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.PlacedAttempt
+import org.hibiscusproxy.forwarding.expectedPrefill
+import org.hibiscusproxy.forwarding.isCold
+import org.hibiscusproxy.forwarding.isMostlyCached
 
 /**
  * Records the outcome of an attempt of [exchange] as evidence about the software version of
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RolloutEvidenceTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RolloutEvidenceTest.kt
@@ -10,6 +10,7 @@
 import org.hibiscusproxy.control.FleetInstant
 import org.hibiscusproxy.forwarding.RequestKind
 import org.hibiscusproxy.forwarding.ServiceVersion
+import org.hibiscusproxy.forwarding.markCold
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.RoutingChange
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/TargetSelector.kt
@@ -30,12 +30,12 @@
  */
 class TargetSelector(
     loadMultiple: Double,
-    private val time: TimeSource.WithComparableMarks,
+    internal val time: TimeSource.WithComparableMarks,
     private val random: Random,
     dataCenter: DataCenterName? = null,
     private val rollouts: RolloutTargets = RolloutTargets(ExposureLimits(), time, random),
 ) {
-    private val states = LinkedHashMap<TargetName, TargetState>()
+    internal val states = LinkedHashMap<TargetName, TargetState>()
     private var services: Map<ServiceName, ForwardingService> = emptyMap()
     private var drained: Set<DataCenterName> = emptySet()
     private val latencies = HashMap<ServiceName, ServiceLatency>()
@@ -296,11 +296,6 @@
         }
     }
 
-    /** Records that no connection to [target] could be established. */
-    fun recordUnreachable(target: TargetName) {
-        states[target]?.health?.record(AttemptResult.UNREACHABLE, time.markNow())
-    }
-
     /**
      * Whether a request that [target] failed may be sent there again. Another engine would have to
      * read or copy the prompt, and fails as often while the whole service is in trouble.
@@ -312,11 +307,6 @@
         return ServiceTrouble(pool(service), time.markNow()).mayRepeatAt(state)
     }
 
-    /** Records that [target] reported to be cold for [remaining]. */
-    fun markCold(target: TargetName, remaining: Duration) {
-        states[target]?.markCold(remaining, time.markNow())
-    }
-
     /**
      * Records what [target] said about the rate of requests that it takes. Returns whether that
      * differs from what it said before.
@@ -350,40 +340,15 @@
         .mapTo(LinkedHashSet()) { it.listed.service }
         .map(demand::own)
 
-    /** Records that [target] stated that it leaves. Returns whether that is news. */
-    fun recordLeaving(target: TargetName): Boolean = states[target]?.notice?.recordLeaving() == true
-
-    /** Records that [target] stated that it wants no request for [duration]. */
-    fun recordPause(target: TargetName, duration: Duration) {
-        states[target]?.notice?.recordPause(duration, time.markNow())
-    }
-
     /** Whether [target] is listed or stated itself as one that accepts no new requests. */
     fun isLeaving(target: TargetName): Boolean =
         states[target]?.acceptance(time.markNow()) is Acceptance.Leaving
 
-    /** Whether [target] has so few requests in progress that one more is not queued. */
-    fun hasFreeSlots(target: TargetName): Boolean =
-        states[target]?.let { it.running < it.listed.slots * FREE_SLOT_SHARE } == true
-
     /** Whether [target] is listed and takes new requests from this forwarder. */
     fun takesRequests(target: TargetName): Boolean = states[target]?.let {
         it.acceptance(time.markNow()) is Acceptance.Open && !rollouts.isExcluded(it.listed)
     } == true
 
-    /** Whether the target of [attempt] had most of the prompt cached. */
-    fun isMostlyCached(attempt: PlacedAttempt): Boolean =
-        attempt.uncachedTokens <= MOSTLY_CACHED_TOKENS
-
-    /** Expected time for prefilling the tokens of [attempt] that were not cached. */
-    fun expectedPrefill(attempt: PlacedAttempt): Duration =
-        attempt.state?.let { latency(it.listed.service).prefillTime(attempt.uncachedTokens) }
-            ?: Duration.ZERO
-
-    /** Whether the target of [attempt] is cold, or was when the attempt began. */
-    fun isCold(attempt: PlacedAttempt): Boolean =
-        attempt.wasCold || attempt.state?.isCold(time.markNow()) == true
-
     private fun TargetState.isOpen(service: ServiceName, now: ComparableTimeMark): Boolean =
         listed.service == service &&
             acceptance(now) is Acceptance.Open &&
@@ -405,18 +370,12 @@
     private fun pool(service: ServiceName): List<TargetState> =
         states.values.filter { it.listed.service == service }
 
-    private fun latency(service: ServiceName) = latencies.getOrPut(service) { ServiceLatency() }
+    internal fun latency(service: ServiceName) = latencies.getOrPut(service) { ServiceLatency() }
 
     private companion object {
         /** Used until a controller reports the count; high, to limit the load on cold targets. */
         const val ASSUMED_FORWARDERS = 16
 
-        /** Prompts have parts of their own that are always read. */
-        const val MOSTLY_CACHED_TOKENS = 1_000L
-
-        /** Leaves room for requests that other forwarders have sent since their last report. */
-        const val FREE_SLOT_SHARE = 0.7
-
         /** Least age of the load of other forwarders. */
         val COUNTS_AGE = 250.milliseconds
     }
