--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/TransportSettings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/transport/TransportSettings.kt
@@ -26,7 +26,7 @@
     val incomingMessages: Int = 64,
     val heartbeatInterval: Duration? = 1.seconds,
     val silenceLimit: Duration = 3.seconds,
-    val pendingHandshakes: Int = 64,
+    val pendingHandshakes: Int = 256,
 ) {
     companion object {
         /**
