Recognize crashed targets whose ports stay open

What callers saw: requests that crash targets reached them again and again, for as long as they came.

Cause: a target counted as crashed only if it refused a new connection 50 ms after it closed one. On real machines a process may end a moment after its connection, and its port may be held by a supervisor or a proxy. Such crashes were never reported, so nothing was refused.

Change: if no connection to the target outlived the loss, it has crashed if it closed several of them, or if it closes or refuses a new one within 300 ms. A target that keeps another connection is tested as before.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -69,10 +69,10 @@
             ?: CallerAdmission.defaultMaximum(settings.maximumDescriptors ?: OpenFileLimit.read()),
         log,
     )
-    val pool = TargetPool(loop, wire, log)
+    val pool = TargetPool(loop, wire, log, time)
     val crashes = CrashObserver(time)
     val refusals = RefusedRequests(time, random)
-    val crashDetector = CrashDetector(loop, pool, selector, crashes) { onCrash() }
+    val crashDetector = CrashDetector(loop, pool, selector, crashes, time) { onCrash() }
     val stalls = StallDetector(loop, pool, selector, time)
         .also { pool.onReceived = it::onReceived }
     val origins = StreamOrigins(time)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -66,6 +66,7 @@
     private var skippedStatusLines = StatusLineSearch()
     private var isReadingResponse = false
     private var isEnded = false
+    private var isBroken = false
     private var isKeepAlive = false
     private var isIdentified = false
     private var hasUnmatchedAnswer = false
@@ -76,6 +77,12 @@
     /** Whether a request waits for its answer or for the end of it. */
     val isPending: Boolean get() = listener != null
 
+    /** Whether the connection is read, without which its end is not noticed. */
+    val isRead: Boolean get() = channel.config().isAutoRead
+
+    /** Whether the target ended the connection; known once it is closed. */
+    val isLost: Boolean get() = isBroken || !isEnded
+
     /** Whether the method of the latest request is HEAD, whose answer has no body. */
     var isHeadPending = false
         private set
@@ -115,7 +122,7 @@
                 if (future.isSuccess) {
                     isRequestWritten = true
                 } else {
-                    fail("write failed: ${future.cause()}")
+                    failBroken("write failed: ${future.cause()}")
                 }
             },
         )
@@ -283,17 +290,19 @@
             channel.config().isAutoRead = true
             isIdleAfterRead = true
         } else {
-            channel.close()
+            end()
         }
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) = fail("connection closed")
+    override fun channelInactive(context: ChannelHandlerContext) = failBroken("connection closed")
 
     @Deprecated("Overrides a deprecated Netty method that is called on connection errors")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
-        fail(cause.toString())
+        failBroken(cause.toString())
 
-    private fun fail(cause: String) {
+    /** Ends the connection, which the target closed or reset unless it has ended before. */
+    private fun failBroken(cause: String) {
+        if (!isEnded) isBroken = true
         end()?.onFailure(cause)
     }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
@@ -10,6 +10,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
+import kotlin.time.ComparableTimeMark
+import kotlin.time.TimeSource
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.TargetName
@@ -19,7 +21,9 @@
     private val loop: EventLoop,
     private val wire: WireFormat,
     private val log: RequestLog,
+    private val time: TimeSource.WithComparableMarks,
 ) {
+    private val connections = HashMap<TargetName, TargetConnections>()
     private val idle = HashMap<TargetName, ArrayDeque<TargetConnection>>()
     private val bootstrap = Bootstrap()
         .group(loop)
@@ -73,8 +77,7 @@
         future.addListener(
             ChannelFutureListener {
                 if (it.isSuccess) {
-                    openCount += 1
-                    it.channel().closeFuture().addListener { openCount -= 1 }
+                    recordOpened(target.name, connection)
                     onResult(ConnectResult.Connected(connection))
                 } else {
                     onResult(ConnectResult.Failed(it.cause()))
@@ -83,6 +86,24 @@
         )
     }
 
+    private fun recordOpened(target: TargetName, connection: TargetConnection) {
+        val ofTarget = connections.getOrPut(target) { TargetConnections(time) }
+        openCount += 1
+        ofTarget.recordOpened(connection)
+        connection.channel.closeFuture().addListener {
+            openCount -= 1
+            ofTarget.recordClosed(connection)
+        }
+    }
+
+    /** Whether a connection to [target] is open that was opened before [moment]. */
+    fun hasOpen(target: TargetName, moment: ComparableTimeMark): Boolean =
+        connections[target]?.hasOpen(moment) == true
+
+    /** Number of connections that [target] closed at [moment] or later. */
+    fun lost(target: TargetName, moment: ComparableTimeMark): Int =
+        connections[target]?.lost(moment) ?: 0
+
     /** Closes idle connections that reached their limit or whose target is not in [targets]. */
     fun prune(targets: Set<TargetName>) {
         idle.forEach { (name, connections) ->
@@ -93,6 +114,7 @@
             }
         }
         idle.values.removeAll { it.isEmpty() }
+        connections.entries.removeAll { (name, ofTarget) -> name !in targets && ofTarget.isEmpty }
     }
 
     /** Closes the idle connections to [target]. */
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RecordingTarget.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RecordingTarget.kt
@@ -16,23 +16,35 @@
     private val server = ServerSocket(0, 500, InetAddress.getLoopbackAddress())
     val address = NetworkAddress("127.0.0.1", server.localPort)
     val requests = CopyOnWriteArrayList<ReceivedRequest>()
+    private val openSockets = CopyOnWriteArrayList<Socket>()
 
     /** Bytes that arrived, also those of incomplete requests. */
     @Volatile
     var receivedBytes = 0L
         private set
 
+    /** Whether new connections are closed at once. */
+    @Volatile
+    var isRejecting = false
+
     init {
         thread(isDaemon = true) {
             while (!server.isClosed) {
                 val socket = runCatching { server.accept() }.getOrNull() ?: break
+                openSockets += socket
                 thread(isDaemon = true) { runCatching { socket.use(::serve) } }
             }
         }
     }
 
+    /** Closes the connections that are open; the listener stays. */
+    fun closeConnections() {
+        openSockets.forEach { it.close() }
+        openSockets.clear()
+    }
+
     private fun serve(socket: Socket) {
-        while (true) {
+        while (!isRejecting) {
             val headers = readHead(socket.getInputStream())
             socket.getInputStream().readNBytes(headers["content-length"]?.toInt() ?: 0)
             val request = ReceivedRequest(headers, TimeSource.Monotonic.markNow())
