Count the heads of requests toward the memory of callers

What callers saw: many connections with heads of legal size ended a forwarder or left it without an answer.

Cause: the memory budget counted bodies, pipelined bodies and unread answers only. A head of 16,384 bytes can have 3,200 fields, half a megabyte in the decoder; heads that were incomplete, that waited for their body, or that were pipelined counted as nothing or as 512 bytes. Requests below 64 KB were never given up, so that slow ones could also keep small requests of others out.

Change: ReceivedMemory estimates what the decoder has not passed on, heads count with their request, and under pressure connections with much behind a request in progress are closed and small requests that began more than a second ago are given up, oldest first. The number of fields has no limit of its own, which a client within the limits could meet.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -28,6 +28,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import org.hibiscusproxy.daemon.forwarding.ReceivedMemory.Companion.headBytes
 import org.hibiscusproxy.forwarding.CallerLimits
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
@@ -49,6 +50,7 @@
     private var head: HttpRequest? = null
     private var body: BodyBuffer? = null
     private val holding = node.memory.budget.open(this)
+    private var headBytes = 0L
     private var queuedBytes = 0L
     private var exchangeBytes = 0L
     private var exchange: Exchange? = null
@@ -60,6 +62,14 @@
         private set
     private var idleTimer: ScheduledFuture<*>? = null
 
+    /** Memory of what the decoder has not passed on; stands before it in the pipeline. */
+    val received = ReceivedMemory {
+        if (!isClosing && channel.isActive) {
+            updateHolding()
+            node.memory.shed(holding)
+        }
+    }
+
     /** Whether no request is in progress or being received. */
     val isIdle: Boolean get() = exchange == null && head == null && queuedMessages.isEmpty()
 
@@ -76,6 +86,7 @@
             ReferenceCountUtil.release(message)
             return
         }
+        received.recordDecoded(message)
         if (message is HttpRequest) arrivals.addLast(node.time.markNow())
         val mustWait = exchange != null || queuedMessages.isNotEmpty() || !channel.isWritable
         if (mustWait) queue(message) else read(message)
@@ -91,11 +102,18 @@
     }
 
     private val HttpObject.heldBytes: Long
-        get() = MESSAGE_BYTES + ((this as? HttpContent)?.content()?.readableBytes() ?: 0)
+        get() = MESSAGE_BYTES + ((this as? HttpContent)?.content()?.readableBytes() ?: 0) +
+            ((this as? HttpRequest)?.headBytes ?: 0)
 
     private fun updateHolding() {
         val pending = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L
-        holding.update(body?.allocated ?: 0L, exchangeBytes + queuedBytes, pending)
+        val partBytes = received.bytes
+        if (exchange == null) {
+            val unfinished = headBytes + (body?.allocated ?: 0L) + partBytes
+            holding.update(unfinished, inProgress = 0, pending, queuedBytes)
+        } else {
+            holding.update(unfinished = 0, exchangeBytes, pending, queuedBytes + partBytes)
+        }
     }
 
     private fun read(message: HttpObject) {
@@ -114,6 +132,7 @@
     private fun accept(message: HttpObject) {
         if (message is HttpRequest) {
             head = message
+            headBytes = message.headBytes
             body = BodyBuffer()
             isKeepAlive = HttpUtil.isKeepAlive(message)
             if (HttpUtil.is100ContinueExpected(message)) {
@@ -146,7 +165,7 @@
         rejectAndClose(response)
     }
 
-    /** Closes the connection, which is idle or whose caller does not read, for the sake of others. */
+    /** Closes the connection, which is idle or whose caller holds much memory, for others. */
     fun closeForOthers() {
         isClosing = true
         channel.close()
@@ -154,10 +173,11 @@
 
     private fun startExchange() {
         val request = checkNotNull(head) { "request body without request headers" }
-        val received = checkNotNull(body) { "request without a body buffer" }
-        exchangeBytes = received.allocated
-        val bytes = received.finish()
+        val collected = checkNotNull(body) { "request without a body buffer" }
+        exchangeBytes = headBytes + collected.allocated
+        val bytes = collected.finish()
         head = null
+        headBytes = 0
         body = null
         updateHolding()
         val next = Exchange(node, this, request, bytes, arrivals.removeFirst())
@@ -188,8 +208,10 @@
     private fun rejectAndClose(response: DefaultFullHttpResponse) {
         isClosing = true
         head = null
+        headBytes = 0
         body?.release()
         body = null
+        updateHolding()
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         write(response).addListener(ChannelFutureListener.CLOSE)
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerMemory.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerMemory.kt
@@ -20,11 +20,12 @@
             when (excess) {
                 is Excess.Body -> excess.owner.shedBody(HttpResponseStatus.REQUEST_TIMEOUT)
                 is Excess.Refused -> excess.owner.shedBody(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                is Excess.Answer -> excess.owner.closeForOthers()
+                is Excess.Pipelined, is Excess.Answer -> excess.owner.closeForOthers()
             }
             val kind = when (excess) {
                 is Excess.Body -> "body"
                 is Excess.Refused -> "refused"
+                is Excess.Pipelined -> "pipelined"
                 is Excess.Answer -> "answer"
             }
             log.memoryShed(kind, used - budget.usedBytes, used)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingServer.kt
@@ -31,7 +31,9 @@
             val limits = node.routes?.configuration?.limits ?: CallerLimits()
             val caller = CallerConnection(node, node.admission::remove)
             if (node.admission.admit(caller)) {
-                channel.pipeline().addLast(codec(limits.headerBytes), caller)
+                val received = caller.received
+                val codec = HttpServerCodec(received.observe(decoderConfig(limits.headerBytes)))
+                channel.pipeline().addLast(received, codec, caller)
             } else {
                 channel.close()
             }
@@ -48,7 +50,8 @@
             }
             statusChannels.addLast(channel)
             channel.closeFuture().addListener { statusChannels.remove(channel) }
-            channel.pipeline().addLast(codec(MAXIMUM_STATUS_HEADER_BYTES), handler)
+            val codec = HttpServerCodec(decoderConfig(MAXIMUM_STATUS_HEADER_BYTES))
+            channel.pipeline().addLast(codec, handler)
         }
     }
 
@@ -97,9 +100,8 @@
             .channel()
             .also(listeners::add)
 
-    private fun codec(headerBytes: Int) = HttpServerCodec(
-        HttpDecoderConfig().setMaxHeaderSize(headerBytes).setMaxInitialLineLength(headerBytes),
-    )
+    private fun decoderConfig(headerBytes: Int) =
+        HttpDecoderConfig().setMaxHeaderSize(headerBytes).setMaxInitialLineLength(headerBytes)
 
     private companion object {
         /** Holds a burst of new connections; a full queue would delay them by a second. */
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/settings/Settings.kt
@@ -185,7 +185,7 @@
     )
     val exposureSlack: Double = 50.0,
     @Setting(
-        "Memory for bodies, pipelined requests and unread answers of all callers; null for a " +
+        "Memory for requests that are received and unread answers of all callers; null for a " +
             "quarter of the maximum heap, at least 6291456.",
         unit = "bytes",
         minimum = 1_048_576.0,
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CallerMemoryBudget.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/CallerMemoryBudget.kt
@@ -7,10 +7,11 @@
 
 /**
  * Limits the memory that connections of clients hold together, and decides which of them has to give
- * up its part. Bodies that are not complete go first, those without progress before others and the
- * largest of them first; then answers that their client does not read. What belongs to a request in
- * progress is counted and never given up. Small bodies may use a reserve beyond the limit, so that
- * ordinary requests go through beside large ones.
+ * up its part. Requests that are not complete go first: large ones, those without progress before
+ * others and the largest of them first. After them go clients that sent much behind a request in
+ * progress, answers that their client does not read, and small requests that began long ago. What
+ * belongs to a request in progress is counted and never given up by itself. Small requests may use a
+ * reserve beyond the limit, so that ordinary ones go through beside large ones.
  *
  * Not safe for concurrent use.
  *
@@ -31,20 +32,30 @@
 
     /** What the connection of [owner] holds. Its properties are bytes. */
     inner class Holding internal constructor(val owner: T) {
-        /** Body that is not complete. */
+        /** Request that is not complete. */
         var unfinished = 0L
             private set
 
-        /** Body of the request in progress and pipelined requests. */
+        /** Request in progress. */
         var inProgress = 0L
             private set
 
+        /** What was received behind the request in progress. */
+        var pipelined = 0L
+            private set
+
         /** Parts of answers that the client has not read. */
         var unread = 0L
             private set
         private var progressAt: ComparableTimeMark = time.markNow()
+        internal var unfinishedSince: ComparableTimeMark = time.markNow()
+            private set
 
         internal val isStalled: Boolean get() = progressAt.elapsedNow() >= STALLED_AFTER
+        internal val isUnfinishedForLong: Boolean
+            get() = unfinishedSince.elapsedNow() >= UNFINISHED_AFTER
+        internal val isOnlyUnread: Boolean
+            get() = unread > 0 && unfinished == 0L && pipelined <= SMALL_BYTES
         internal val isUnreadForLong: Boolean get() = progressAt.elapsedNow() >= UNREAD_AFTER
 
         /** Sets what the connection holds, after something was received or read by the client. */
@@ -52,20 +63,26 @@
             unfinished: Long = this.unfinished,
             inProgress: Long = this.inProgress,
             unread: Long = this.unread,
+            pipelined: Long = this.pipelined,
         ) {
             val isProgress = unfinished > this.unfinished || unread < this.unread ||
                 inProgress != this.inProgress || this.unread == 0L
             if (isProgress) progressAt = time.markNow()
-            usedBytes += unfinished + inProgress + unread
-            usedBytes -= this.unfinished + this.inProgress + this.unread
+            if (this.unfinished == 0L) unfinishedSince = time.markNow()
+            usedBytes -= total
             this.unfinished = unfinished
             this.inProgress = inProgress
+            this.pipelined = pipelined
             this.unread = unread
-            if (unfinished + inProgress + unread > 0) holdings += this else holdings -= this
+            usedBytes += total
+            if (total > 0) holdings += this else holdings -= this
         }
 
         /** Returns all that the connection holds. */
-        fun release() = update(0, 0, 0)
+        fun release() = update(0, 0, 0, 0)
+
+        /** All that the connection holds. */
+        private val total: Long get() = unfinished + inProgress + pipelined + unread
     }
 
     /** Starts to count what [owner] holds. */
@@ -81,9 +98,12 @@
         var left = usedBytes
         for (holding in candidates()) {
             if (left <= limitBytes) return given
-            left -= holding.unfinished + holding.unread
-            val isBody = holding.unfinished > 0
-            given += if (isBody) Excess.Body(holding.owner) else Excess.Answer(holding.owner)
+            left -= holding.unfinished + holding.pipelined + holding.unread
+            given += when {
+                holding.unfinished > 0 -> Excess.Body(holding.owner)
+                holding.pipelined > SMALL_BYTES -> Excess.Pipelined(holding.owner)
+                else -> Excess.Answer(holding.owner)
+            }
         }
         val isRefused = left > hardLimitBytes && current.unfinished > 0
         if (isRefused && given.none { it.owner == current.owner }) {
@@ -99,13 +119,18 @@
                     it.isStalled
                 }.thenByDescending { it.unfinished },
             )
-        val answers = holdings.filter { it.unfinished == 0L && it.unread > 0 && it.isUnreadForLong }
+        val pipelined = holdings.filter { it.pipelined > SMALL_BYTES }
+            .sortedByDescending { it.pipelined }
+        val small = holdings
+            .filter { it.unfinished in 1..SMALL_BYTES && it.isUnfinishedForLong }
+            .sortedBy { it.unfinishedSince }
+        val answers = holdings.filter { it.isOnlyUnread && it.isUnreadForLong }
             .sortedByDescending { it.unread }
-        return bodies + answers
+        return bodies + pipelined + answers + small
     }
 
     companion object {
-        /** Bodies up to this size are not given up for others; ordinary requests are smaller. */
+        /** Requests up to this size are given up only when they began long ago; most are smaller. */
         const val SMALL_BYTES = 65_536L
 
         /** Small bodies and requests in progress may exceed the limit by this part of it. */
@@ -114,6 +139,9 @@
         /** A client that sends at all sends something within this time. */
         private val STALLED_AFTER = 500.milliseconds
 
+        /** Small requests arrive as a whole, or in two parts a round trip apart. */
+        private val UNFINISHED_AFTER = 1.seconds
+
         /** Targets cut off answers that stay unread for some seconds. */
         private val UNREAD_AFTER = 2.seconds
 
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/Excess.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/forwarding/Excess.kt
@@ -4,9 +4,12 @@
 sealed class Excess<T : Any> {
     abstract val owner: T
 
-    /** A body that is not complete; its request has not been sent. */
+    /** A request that is not complete and has not been sent. */
     data class Body<T : Any>(override val owner: T) : Excess<T>()
 
+    /** What the client sent behind a request in progress, which ends with its connection. */
+    data class Pipelined<T : Any>(override val owner: T) : Excess<T>()
+
     /** An answer that the client does not read. */
     data class Answer<T : Any>(override val owner: T) : Excess<T>()
 
--- a/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CallerMemoryBudgetTest.kt
+++ b/hibiscusproxy-library/src/test/kotlin/org/hibiscusproxy/forwarding/CallerMemoryBudgetTest.kt
@@ -81,6 +81,25 @@
             assertEquals(listOf(Excess.Refused("small")), budget.excess(last))
         }
 
+        @Test
+        fun `small requests that began long ago are given up, the oldest first`() {
+            open("oldest", unfinished = LIMIT / 20)
+            time += 1.seconds
+            open("old", unfinished = LIMIT / 20)
+            time += 1.seconds
+            open("running", inProgress = LIMIT - LIMIT / 20)
+            val last = open("new", unfinished = 1_000)
+            val expected = listOf(Excess.Body("oldest"), Excess.Body("old"))
+            assertEquals(expected, budget.excess(last))
+        }
+
+        @Test
+        fun `what was sent behind a request in progress is given up`() {
+            budget.open("pipelining").update(inProgress = 1_000, pipelined = LIMIT)
+            val last = open("small", unfinished = 1_000)
+            assertEquals(listOf(Excess.Pipelined("pipelining")), budget.excess(last))
+        }
+
         @Test
         fun `an answer is given up only after it was unread for some time`() {
             open("reader", unread = LIMIT)
