Close status connections whose clients do not read their answers

What callers saw: no answer from a forwarder whose port for readiness and metrics got many pipelined requests for metrics from 20 clients that read nothing.

Cause: each page was written at once, whether or not the pages before had been read, so that all of them were kept in memory.

Evidence: the new test of ForwarderCrowdTest had no answer beside the crowd before; with the change it passes. A connection that cannot be written to is closed when its next request arrives.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/StatusHandler.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/StatusHandler.kt
@@ -16,7 +16,8 @@
 
 /**
  * Serves readiness, health and metrics on the forwarder's event loop. This needs no second HTTP
- * server, and a blocked event loop fails the readiness check.
+ * server, and a blocked event loop fails the readiness check. A connection whose client sends on
+ * without reading its answers is closed.
  */
 @Sharable
 internal class StatusHandler(
@@ -25,7 +26,11 @@
     private val metrics: () -> String,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        if (message !is HttpRequest) return
+        if (message !is HttpRequest || !context.channel().isActive) return
+        if (!context.channel().isWritable) {
+            context.close()
+            return
+        }
         val (status, text) = when (message.uri().substringBefore('?')) {
             in readyPaths -> readiness()
             "/health" -> HttpResponseStatus.OK to "ok\n"
