Keep the framing of chunks out of the memory of idle connections

By reading: what chunks are framed with stayed in the estimate after a body in many chunks and kept counting while the connection was idle, so that under pressure such a connection could be closed as an incomplete request. ReceivedMemoryTest covers it and the estimates of incomplete heads and trailers; it is new and was not seen failing.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ReceivedMemory.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ReceivedMemory.kt
@@ -38,10 +38,12 @@
             head.complete()
             receivedBytes -= message.textBytes
         }
-        if (message is HttpContent) receivedBytes -= message.content().readableBytes()
+        if (message is HttpContent) {
+            receivedBytes -= message.content().readableBytes() + CHUNK_BYTES
+        }
         if (message is LastHttpContent) {
             trailer.complete()
-            // Framing of chunks is not known here; what is left of a complete request is little.
+            // The text of a head is known without its spaces only.
             if (receivedBytes < NEGLIGIBLE_BYTES) receivedBytes = 0
         }
         receivedBytes = maxOf(receivedBytes, 0)
@@ -53,6 +55,9 @@
 
         /** Separators and line ends of a field. */
         private const val SEPARATOR_BYTES = 4L
+
+        /** Most bytes with which a chunk is framed, without extensions. */
+        private const val CHUNK_BYTES = 12L
         private const val NEGLIGIBLE_BYTES = 1_024L
 
         /** Bytes of the head of a request, as received. */
