Report extra bytes on closing connections to targets as before; count a request at its start

Found by reading the diff: the state of a connection that is closed after its answer had become that of an ended one, so that extra bytes in the same read were no longer reported. The head and body of a request were counted as in progress only with the next read. No test had failed.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/CallerConnection.kt
@@ -179,9 +179,9 @@
         head = null
         headBytes = 0
         body = null
-        updateHolding()
         val next = Exchange(node, this, request, bytes, arrivals.removeFirst())
         exchange = next
+        updateHolding()
         node.activeExchanges += 1
         // By then the loop has also read whether the caller has left since it sent the request.
         node.loop.execute { if (channel.isActive) next.guard { next.start() } }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetConnection.kt
@@ -66,6 +66,7 @@
     private var skippedStatusLines = StatusLineSearch()
     private var isReadingResponse = false
     private var isEnded = false
+    private var isClosing = false
     private var isBroken = false
     private var isKeepAlive = false
     private var isIdentified = false
@@ -81,7 +82,7 @@
     val isRead: Boolean get() = channel.config().isAutoRead
 
     /** Whether the target ended the connection; known once it is closed. */
-    val isLost: Boolean get() = isBroken || !isEnded
+    val isLost: Boolean get() = isBroken || !(isEnded || isClosing)
 
     /** Whether the method of the latest request is HEAD, whose answer has no body. */
     var isHeadPending = false
@@ -290,7 +291,8 @@
             channel.config().isAutoRead = true
             isIdleAfterRead = true
         } else {
-            end()
+            isClosing = true
+            channel.close()
         }
     }
 
@@ -300,9 +302,9 @@
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
         failBroken(cause.toString())
 
-    /** Ends the connection, which the target closed or reset unless it has ended before. */
+    /** Ends the connection, which the target closed or reset unless it was closed here before. */
     private fun failBroken(cause: String) {
-        if (!isEnded) isBroken = true
+        if (!isEnded && !isClosing) isBroken = true
         end()?.onFailure(cause)
     }
 
