--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -637,6 +637,7 @@
                     }
                     ran.add(request);
                     handler.handle(this, request, socket, socket.getOutputStream());
+                    request.body = null;
                     if (socket.isClosed()) return;
                 }
             } finally {
