--- a/review/rig-2/ListGap.java
+++ b/review/rig-2/ListGap.java
@@ -4,9 +4,10 @@
 import java.util.concurrent.atomic.*;
 
 /**
- * All workers crash. The platform's list still names them for two seconds, is empty for two more, and then names new ones.
- * One answer of the platform is late: a controller that asked just before the new workers were listed gets the empty list a
- * few milliseconds after another controller got the new one. Clients send streams that may run once only.
+ * All workers stand in one zone, whose workers are down for four seconds and come back together. The platform's list still
+ * names them for two seconds, is empty for two more, and then names the new ones. One answer of the platform is late: a
+ * controller that asked just before the new workers were listed gets the empty list a few milliseconds after another
+ * controller got the new one. Clients send streams that may run once only.
  *
  * The rule is broken if a request that a worker ran is answered 503, or if a client gets bytes of an answer in the middle
  * of another one or with no request waiting.
@@ -43,7 +44,7 @@
         for (int gap = 1; gap <= GAPS; gap++) {
             Rig.sleep(8_000);
             if (!rig.trouble) continue;
-            rig.note("all workers crash");
+            rig.note("the workers of the zone are down");
             for (Rig.Worker worker : workers) worker.crash();
             Rig.sleep(2_000);
             synchronized (CALLS) {
@@ -86,7 +87,7 @@
             String id = "llm-" + generation + "-" + i;
             Rig.Worker worker = new Rig.Worker(rig, id, (self, request, socket, output) -> stream(request, output, generation > 0 ? 1_000 : 100));
             workers.add(worker);
-            rig.platform.put(id, "llm", worker.address(), "zone-" + ((i - 1) % 3 + 1), 128, "ready", "");
+            rig.platform.put(id, "llm", worker.address(), "zone-1", 128, "ready", "");
         }
     }
 
