Refuse no request as not run after a target received it

Callers of requests that waited twice for targets got 503 with "not-run" 2.5 s after their arrival while a target ran them.

Cause: Exchange.start began a wait each time it found no targets, and a second RoutingWait.begin replaced the timer of the first without cancelling it. The timer then refused the request whatever had become of it, since neither refuse nor complete looked at what was sent or ended.

Change: a request has one phase (ExchangePhase), which moves to later ones only; leaving a phase cancels what was scheduled for it. All ends go through Exchange.end, which acts once and replaces an answer that would not be true (FinalAnswer.applicableTo). ExchangeAttempts knows whether a target may have run the request. Late callbacks are ignored, counted and logged (event=late-step). Waiting requests leave their queue only when they start or end, so they keep their place and the limit of their wait. A request that timed out before it was sent is now answered as not run, as it was not.

TargetPool opens connections through TargetConnector, so that tests can play targets in virtual time.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -1,7 +1,6 @@
 package org.hibiscusproxy.daemon.forwarding
 
 import io.netty.buffer.ByteBuf
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
@@ -20,12 +19,14 @@
 import org.hibiscusproxy.forwarding.VersionChoice
 import org.hibiscusproxy.forwarding.hasFreeSlots
 import org.hibiscusproxy.model.ServiceName
-import org.hibiscusproxy.model.TargetName
 
 /**
  * Forwards one request of a caller, from its complete reception to the final response. Another
  * target is tried only if no earlier one may have executed the request, or if its route allows
  * repeated execution. Its time runs from [arrivedAt], when its head arrived.
+ *
+ * Callbacks of timers, targets, controllers and the caller may come at any time, also after the
+ * request has moved on. Each checks the [phase] that it is for; [end] sends the only final answer.
  */
 internal class Exchange(
     val node: ForwardingNode,
@@ -41,7 +42,7 @@
 
     /** Fingerprints by which this request is recognized if it crashes targets. */
     val fingerprints = RequestFingerprints(this)
-    private val triedTargets = LinkedHashSet<TargetName>()
+    private var phase: ExchangePhase = ExchangePhase.Received
     private var revision = node.revision
 
     /** Route of the request; null until [start] finds it. */
@@ -52,58 +53,53 @@
     private var service: ServiceName? = null
     private var timeout: Duration = Duration.INFINITE
     private var timeoutTask: ScheduledFuture<*>? = null
-    private val running = ExchangeAttempts()
+    private val attempts = ExchangeAttempts()
     private var secondAttempt: SecondAttempt? = null
-    private var lastTarget: DiscoveredTarget? = null
-    private var lastFraming: AnswerFraming? = null
-    private var attempts = 0
+    private var framing: AnswerFraming? = null
     private var status = 0
-    private var isCompleted = false
-
-    /** Number of attempts that executed the request or may have executed it. */
-    private var possibleExecutions = 0
-
-    /** Whether the response status and headers were sent to the caller. */
-    var isHeadSent = false
-        private set
 
     /** Splits the stream of a resumable route into events; null for other responses. */
     var events: EventSplitter? = null
         private set
-    private val routingWait = RoutingWait(this)
     private var stream: StreamBinding? = null
-    private var mayHaveRun = false
+
+    /** Whether the response status and headers were sent to the caller. */
+    val isHeadSent: Boolean get() = phase is ExchangePhase.Answering
+
+    private val isEnded: Boolean get() = phase is ExchangePhase.Ended
 
     private val isRepeatable: Boolean get() = route?.isRepeatable == true
 
+    /** Time since the head of the request arrived. */
+    val elapsed: Duration get() = arrivedAt.elapsedNow()
+
     /** Time until the timeout of the caller or of the route. */
-    val remaining: Duration get() = timeout - arrivedAt.elapsedNow()
+    val remaining: Duration get() = timeout - elapsed
 
     /**
      * Finds the route and sends the request to a target, or responds with an error. If the process
-     * has not received routing or targets yet, the request waits for part of its timeout.
+     * has no routing or targets, the request waits for part of its timeout. One that waits already
+     * goes on waiting, with its place and its limit unchanged.
      */
     fun start() {
+        val isStarted = phase !is ExchangePhase.Received && phase !is ExchangePhase.Waiting
+        if (isStarted) return ignore("start")
         val index = node.routes
-        if (index == null || !node.isServing) {
-            return routingWait.begin(arrivedAt.elapsedNow()) {
-                guard { refuse(FinalReason.NO_ROUTING, RoutingWait.RETRY_AFTER) }
-            }
-        }
-        routingWait.end()
+        if (index == null || !node.isServing) return awaitRouting()
         revision = node.revision
         val host = head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val matchedRoute = index.route(host, head.uri().substringBefore('?'))
-            ?: return deny(HttpResponseStatus.NOT_FOUND, FinalReason.NO_ROUTE)
+            ?: return end(FinalAnswer.Failed(FinalReason.NO_ROUTE, HttpResponseStatus.NOT_FOUND))
         route = matchedRoute
         if (index.needsKeys && !matchedRoute.isPublic) {
-            team = metadata.accessKey?.let(index::team)
-                ?: return deny(HttpResponseStatus.UNAUTHORIZED, FinalReason.UNKNOWN_KEY)
+            team = metadata.accessKey?.let(index::team) ?: return end(
+                FinalAnswer.Failed(FinalReason.UNKNOWN_KEY, HttpResponseStatus.UNAUTHORIZED),
+            )
         }
         val routeTimeout = matchedRoute.timeoutMilliseconds.milliseconds
         timeout = minOf(routeTimeout, metadata.callerTimeout ?: routeTimeout)
         if (node.shutdown?.permits(remaining) == false) {
-            return refuse(FinalReason.SHUTTING_DOWN, ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER)
+            return endBy(FinalReason.SHUTTING_DOWN, ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER)
         }
         val chosen = matchedRoute.selectService(node.random)
         if (matchedRoute.isResumable) {
@@ -119,7 +115,21 @@
         begin(chosen)
     }
 
+    private fun awaitRouting() {
+        if (phase is ExchangePhase.Waiting) return
+        val wait = RoutingWait(this) {
+            guard { endBy(FinalReason.NO_ROUTING, RoutingWait.RETRY_AFTER) }
+        }
+        enter(ExchangePhase.Waiting(wait))
+        wait.begin()
+    }
+
+    private fun enter(next: ExchangePhase) {
+        phase = phase.moveTo(next)
+    }
+
     private fun begin(chosen: ServiceName) {
+        enter(ExchangePhase.Sending)
         service = chosen
         node.retryLimiter.recordRequest(chosen)
         if (isRepeatable) {
@@ -127,40 +137,44 @@
             secondAttempt = route?.let { SecondAttempt(this, it) }
         }
         sendToTarget()
-        if (attempts == 1) secondAttempt?.schedule()
+        if (attempts.count == 1 && !isEnded) secondAttempt?.schedule()
+    }
+
+    private fun continueStream(binding: StreamBinding) {
+        enter(ExchangePhase.LookingUp(binding))
+        binding.findOrigin { origin -> guard { onOriginFound(origin) } }
     }
 
-    private fun continueStream(binding: StreamBinding) = binding.findOrigin { origin ->
-        guard {
-            when (origin) {
-                is StreamOrigin.Known -> continueAt(origin.version.service)
+    private fun onOriginFound(origin: StreamOrigin) {
+        if (phase !is ExchangePhase.LookingUp) return ignore("origin")
+        when (origin) {
+            is StreamOrigin.Known -> continueAt(origin.version.service)
 
-                is StreamOrigin.Unknown -> refuseStream(FinalReason.ORIGIN_UNKNOWN)
+            is StreamOrigin.Unknown -> end(FinalAnswer.StreamRefused(FinalReason.ORIGIN_UNKNOWN))
 
-                is StreamOrigin.NotAnswered ->
-                    refuse(FinalReason.ORIGIN_NOT_TOLD, RoutingWait.RETRY_AFTER)
-            }
+            is StreamOrigin.NotAnswered ->
+                endBy(FinalReason.ORIGIN_NOT_TOLD, RoutingWait.RETRY_AFTER)
         }
     }
 
     private fun continueAt(origin: ServiceName) {
         if (route?.shares.orEmpty().none { it.service == origin }) {
-            return refuseStream(FinalReason.VERSION_GONE)
+            return end(FinalAnswer.StreamRefused(FinalReason.VERSION_GONE))
         }
         begin(origin)
     }
 
     private fun sendToTarget() {
         if (!remaining.isPositive()) {
-            return completeWithError(FinalReason.TIMEOUT, ErrorResponses.BUSY_RETRY_AFTER)
+            return endBy(FinalReason.TIMEOUT, ErrorResponses.BUSY_RETRY_AFTER)
         }
-        fingerprints.admit()?.let { return completeWithError(FinalReason.CRASHES_TARGETS, it) }
+        fingerprints.admit()?.let { return endBy(FinalReason.CRASHES_TARGETS, it) }
         val request = placementRequest()
         when (val choice = node.selector.choose(request)) {
             is PlacementChoice.Chosen -> startAttempt(choice.target, choice.cachedAt)
             is PlacementChoice.Refused -> {
                 node.log.placementRefused(request.rank, choice.reason)
-                completeWithError(FinalReason.of(choice.reason), choice.retryAfter)
+                endBy(FinalReason.of(choice.reason), choice.retryAfter)
             }
         }
     }
@@ -170,21 +184,22 @@
         return PlacementRequest(
             service = checkNotNull(service) { "request has no service" },
             prompt = metadata.prompt,
-            objective = currentRoute.objectiveMilliseconds.milliseconds - arrivedAt.elapsedNow(),
+            objective = currentRoute.objectiveMilliseconds.milliseconds - elapsed,
             remaining = remaining,
-            excluded = triedTargets,
+            excluded = attempts.triedTargets,
             versions = stream?.versions ?: VersionChoice.Any,
             rank = team?.priority ?: currentRoute.priority,
             team = team?.name,
-            isRetry = attempts > 0,
+            isRetry = attempts.count > 0,
         )
     }
 
     /** Sends the request to another target too, if its answer is slow and the limits allow it. */
     fun startSecondAttempt() {
         val currentService = service ?: return
-        val maySend = !isCompleted && !isHeadSent && running.size == 1 && !running.hasAnswer &&
-            possibleExecutions + running.size < (route?.maximumTargets ?: 1) &&
+        val maySend = phase is ExchangePhase.Sending && attempts.size == 1 &&
+            !attempts.hasAnswer &&
+            attempts.possibleExecutions + attempts.size < (route?.maximumTargets ?: 1) &&
             remaining > MINIMUM_ATTEMPT_TIME &&
             refusalTime() == null && node.crashes.maySendAgain(fingerprints.request)
         if (!maySend) return
@@ -200,12 +215,9 @@
         if (node.refusals.isEmpty) null else node.refusals.remaining(fingerprints.all)
 
     private fun startAttempt(target: DiscoveredTarget, cachedAt: DiscoveredTarget?) {
-        triedTargets += target.name
-        lastTarget = target
-        attempts += 1
         val next =
             TargetAttempt(this, target, cachedAt, node.selector.begin(target.name, metadata.prompt))
-        running.add(next)
+        attempts.add(next)
         val idleConnection = node.pool.acquireIdle(
             target.name,
             head.method(),
@@ -220,16 +232,15 @@
 
     /** Pauses or resumes reading from the target as the caller's connection allows. */
     fun onCallerWritabilityChanged(isWritable: Boolean) {
-        running.setReading(isWritable)
+        attempts.setReading(isWritable)
     }
 
     /** Cancels the current attempt after the caller closed its connection. */
     fun onCallerDisconnected() {
-        if (isCompleted) return
+        if (isEnded) return
         // A caller counts its time from a moment earlier, and leaves just before the timeout here.
-        if (remaining < timeout * LEAVING_FRACTION) running.recordTimeout(timeout)
-        running.cancel(AttemptResult.INCONCLUSIVE)
-        complete("caller-left", FinalReason.CALLER_LEFT)
+        if (remaining < timeout * LEAVING_FRACTION) attempts.recordTimeout(timeout)
+        end(FinalAnswer.CallerLeft)
     }
 
     /**
@@ -237,26 +248,20 @@
      * have run; returns whether it was in progress.
      */
     fun endEarly(reason: FinalReason, failure: HttpResponseStatus): Boolean {
-        if (isCompleted) return false
-        val wasNotSent = !mayHaveRun && running.areUnsent
-        running.cancel(AttemptResult.INCONCLUSIVE)
-        when {
-            isHeadSent -> abort(reason)
-            wasNotSent -> refuse(reason, ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER)
-            else -> fail(failure, reason, ErrorResponses.UNKNOWN)
-        }
+        if (isEnded) return false
+        val retryAfter = ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER
+        end(FinalAnswer.Refused(reason, retryAfter, otherwise = failure))
         return true
     }
 
     private fun onTimeout() {
-        if (isCompleted) return
-        running.recordTimeout(timeout)
+        if (isEnded) return
+        attempts.recordTimeout(timeout)
         val isUnresponsive = !isHeadSent && receivedAt.elapsedNow() > UNRESPONSIVE_AFTER
-        running.cancel(
+        attempts.cancel(
             if (isUnresponsive) AttemptResult.TIMED_OUT else AttemptResult.INCONCLUSIVE,
         )
-        if (isHeadSent) return abort(FinalReason.TIMEOUT)
-        fail(HttpResponseStatus.GATEWAY_TIMEOUT, FinalReason.TIMEOUT, ErrorResponses.UNKNOWN)
+        end(FinalAnswer.Failed(FinalReason.TIMEOUT, HttpResponseStatus.GATEWAY_TIMEOUT))
     }
 
     /** Tries another target if that is allowed; otherwise sends the final response. */
@@ -266,32 +271,28 @@
         cause: String,
         isNotExecuted: Boolean,
     ) {
-        running.remove(ended)
-        if (!isNotExecuted) {
-            mayHaveRun = true
-            possibleExecutions += 1
-        }
-        if (!running.isEmpty) return logFailure(ended, cause, "other-attempt")
+        if (isEnded || !attempts.remove(ended, isNotExecuted)) return ignore("attempt-failed")
+        if (!attempts.isEmpty) return logFailure(ended, cause, "other-attempt")
         val isAllowed = when {
-            remaining < MINIMUM_ATTEMPT_TIME || attempts >= MAXIMUM_ATTEMPTS -> false
+            remaining < MINIMUM_ATTEMPT_TIME || attempts.count >= MAXIMUM_ATTEMPTS -> false
             // The output of another execution can only be joined at an event boundary.
             isHeadSent && events == null -> false
             isNotExecuted -> true
             reason == FinalReason.TARGET_LOST && !node.crashes.maySendAgain(fingerprints.request) ->
                 false
-            else -> isRepeatable && possibleExecutions < (route?.maximumTargets ?: 1)
+            else -> isRepeatable && attempts.possibleExecutions < (route?.maximumTargets ?: 1)
         }
         val willRetry = isAllowed && (ended.wasNotSent || service?.let(node::tryRetry) == true)
         logFailure(ended, cause, if (willRetry) "another-target" else "final-answer")
         if (willRetry) {
             val isTargetFailed = reason == FinalReason.TARGET_FAILED
             if (isTargetFailed && node.selector.mayRepeatAt(ended.target.name)) {
-                triedTargets -= ended.target.name
+                attempts.allowAgain(ended.target.name)
             }
             events?.discardPartialEvent()
             sendToTarget()
         } else {
-            completeWithError(reason, ErrorResponses.BUSY_RETRY_AFTER)
+            endBy(reason, ErrorResponses.BUSY_RETRY_AFTER)
         }
     }
 
@@ -309,98 +310,94 @@
         )
 
     /** Whether a server error of an attempt is not the answer yet, as another one may succeed. */
-    fun canRetry(): Boolean = running.size > 1 ||
+    fun canRetry(): Boolean = attempts.size > 1 ||
         isRepeatable &&
-        possibleExecutions + 1 < (route?.maximumTargets ?: 1) &&
+        attempts.possibleExecutions + 1 < (route?.maximumTargets ?: 1) &&
         remaining > MINIMUM_ATTEMPT_TIME
 
     /** Ends the attempts other than [selected], whose answer the caller gets. */
     fun selectAnswer(selected: TargetAttempt) {
-        if (running.size == 1) return
-        val others = running.select(selected)
-        possibleExecutions += others
-        if (others > 0) mayHaveRun = true
-        node.log.secondAttemptEnded(isAnswered = selected.target.name == lastTarget?.name)
-        lastTarget = selected.target
+        if (attempts.size == 1) return
+        val isLatest = selected.target.name == attempts.lastTarget?.name
+        attempts.select(selected)
+        node.log.secondAttemptEnded(isAnswered = isLatest)
     }
 
     /** Forwards the status and headers of the response. */
     fun forwardHead(response: HttpResponse) {
+        if (phase !is ExchangePhase.Sending) return ignore("head")
         status = response.status().code()
         if (status !in SUCCESS_STATUSES) events = null
         caller.writeHead(response)
-        isHeadSent = true
-    }
-
-    /** Called when complete events of [target] were forwarded. */
-    fun onEventsForwarded(target: DiscoveredTarget) {
-        stream?.onEventsForwarded(target)
+        enter(ExchangePhase.Answering)
     }
 
-    /** Ends the request after its complete response was forwarded. */
-    fun onResponseComplete() {
-        lastFraming = running.framing
-        complete("answered", FinalReason.COMPLETE)
-        caller.finish()
-    }
-
-    private fun completeWithError(reason: FinalReason, retryAfter: Duration) {
-        when {
-            isHeadSent -> abort(reason)
-            mayHaveRun -> fail(HttpResponseStatus.BAD_GATEWAY, reason, ErrorResponses.UNKNOWN)
-            reason == FinalReason.VERSION_GONE -> refuseStream(reason)
-            else -> refuse(reason, retryAfter)
-        }
+    /** Forwards [bytes] of the response; takes ownership of the buffer. */
+    fun forwardContent(bytes: ByteBuf) {
+        if (isHeadSent && bytes.isReadable) return caller.writeContent(bytes)
+        if (!isHeadSent) ignore("content")
+        bytes.release()
     }
 
-    /** Refuses a request that was not executed; the caller may retry after [retryAfter]. */
-    private fun refuse(reason: FinalReason, retryAfter: Duration) {
-        respond(ErrorResponses.refusal(reason, retryAfter), "refused", reason)
-    }
-
-    private fun refuseStream(reason: FinalReason) =
-        respond(ErrorResponses.restart(reason), "refused", reason)
-
-    private fun deny(status: HttpResponseStatus, reason: FinalReason) =
-        fail(status, reason, ErrorResponses.NOT_RUN)
-
-    private fun fail(failure: HttpResponseStatus, reason: FinalReason, outcome: String) =
-        respond(ErrorResponses.failure(failure, reason, outcome), "failed", reason)
-
-    private fun respond(response: DefaultFullHttpResponse, outcome: String, reason: FinalReason) {
-        status = response.status().code()
-        complete(outcome, reason)
-        caller.writeResponse(response)
+    /** Called when complete events of [target] were forwarded. */
+    fun onEventsForwarded(target: DiscoveredTarget) {
+        if (isHeadSent) stream?.onEventsForwarded(target)
     }
 
-    private fun abort(reason: FinalReason) {
-        complete("broken-off", reason)
-        caller.abort()
+    /** Ends the request after the complete response of [answered] was forwarded. */
+    fun onResponseComplete(answered: TargetAttempt) {
+        if (!isHeadSent) return ignore("response-complete")
+        framing = answered.framing
+        attempts.remove(answered, isNotExecuted = false)
+        end(FinalAnswer.Forwarded)
     }
 
-    private fun complete(outcome: String, reason: FinalReason) {
-        isCompleted = true
-        routingWait.end()
-        stream?.close()
+    /** Ends the request because of [reason]; if it was not executed, it may come again. */
+    private fun endBy(reason: FinalReason, retryAfter: Duration) = end(
+        when (reason) {
+            FinalReason.VERSION_GONE -> FinalAnswer.StreamRefused(reason)
+            else -> FinalAnswer.Refused(reason, retryAfter)
+        },
+    )
+
+    /** Ends the request with [intended], or with what is true of the request instead. */
+    private fun end(intended: FinalAnswer) {
+        if (isEnded) return ignore("end")
+        val mayHaveRun = attempts.mayHaveRun
+        val answer = intended.applicableTo(phase, mayHaveRun)
+        attempts.cancel(AttemptResult.INCONCLUSIVE)
+        val response = answer.response(mayHaveRun)
+        response?.let { status = it.status().code() }
+        enter(ExchangePhase.Ended)
         timeoutTask?.cancel(false)
         secondAttempt?.cancel()
         body.release()
-        node.log.requestCompleted(
-            ExchangeSummary(
-                metadata.requestIdentifier,
-                route?.name,
-                lastTarget,
-                attempts,
-                status,
-                outcome,
-                reason.text,
-                lastFraming,
-                arrivedAt.elapsedNow(),
-                revision,
-            ),
-        )
+        logEnd(answer)
+        when (answer) {
+            is FinalAnswer.Forwarded -> caller.finish()
+            is FinalAnswer.CallerLeft -> Unit
+            is FinalAnswer.BrokenOff -> caller.abort()
+            else -> response?.let(caller::writeResponse)
+        }
     }
 
+    private fun ignore(lateStep: String) = node.log.lateStep(metadata.requestIdentifier, lateStep)
+
+    private fun logEnd(answer: FinalAnswer) = node.log.requestCompleted(
+        ExchangeSummary(
+            metadata.requestIdentifier,
+            route?.name,
+            attempts.lastTarget,
+            attempts.count,
+            status,
+            answer.outcome,
+            answer.reason.text,
+            framing,
+            elapsed,
+            revision,
+        ),
+    )
+
     private companion object {
         val SUCCESS_STATUSES = 200..299
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeAttempts.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeAttempts.kt
@@ -2,42 +2,85 @@
 
 import kotlin.time.Duration
 import org.hibiscusproxy.forwarding.AttemptResult
+import org.hibiscusproxy.forwarding.DiscoveredTarget
+import org.hibiscusproxy.model.TargetName
 
-/** The attempts of a request that are in progress: one, or two after a slow start of an answer. */
+/**
+ * The attempts of a request: those in progress, which are one or two, and what is left of those
+ * that ended.
+ */
 internal class ExchangeAttempts {
     private val running = ArrayList<TargetAttempt>(2)
+    private val tried = LinkedHashSet<TargetName>()
+
+    /** Targets that the next attempt avoids. */
+    val triedTargets: Set<TargetName> get() = tried
+
+    /** Number of attempts, including those that reached no target. */
+    var count = 0
+        private set
+
+    /** Target of the latest attempt, or of the one whose answer the caller gets. */
+    var lastTarget: DiscoveredTarget? = null
+        private set
+
+    /** Number of ended attempts that executed the request or may have executed it. */
+    var possibleExecutions = 0
+        private set
 
     val isEmpty: Boolean get() = running.isEmpty()
 
     val size: Int get() = running.size
 
-    /** Whether no attempt has written anything of the request to a connection. */
-    val areUnsent: Boolean get() = running.all { it.wasNotSent }
+    /** Whether a target may have executed the request or may do so later. */
+    val mayHaveRun: Boolean get() = possibleExecutions > 0 || running.any { !it.wasNotSent }
 
     /** Whether a target has begun to answer. */
     val hasAnswer: Boolean get() = running.any { it.hasAnswered }
 
+    /** Adds [attempt], which starts now. */
     fun add(attempt: TargetAttempt) {
         running += attempt
+        tried += attempt.target.name
+        lastTarget = attempt.target
+        count += 1
     }
 
-    fun remove(attempt: TargetAttempt) {
-        running -= attempt
+    /** Removes [ended]; returns false if it was not in progress. */
+    fun remove(ended: TargetAttempt, isNotExecuted: Boolean): Boolean {
+        if (!running.remove(ended)) return false
+        if (!isNotExecuted) possibleExecutions += 1
+        return true
+    }
+
+    /** Lets the next attempt use [target] again. */
+    fun allowAgain(target: TargetName) {
+        tried -= target
     }
 
     /** Ends all attempts but [selected]; returns how many of them may have run the request. */
     fun select(selected: TargetAttempt): Int {
         val others = running.filter { it !== selected }
         running.retainAll { it === selected }
-        others.forEach { it.cancel(it.resultIfDropped) }
-        return others.count { !it.wasNotSent }
+        lastTarget = selected.target
+        return cancel(others) { it.resultIfDropped }
     }
 
     /** Ends all attempts. */
     fun cancel(result: AttemptResult) {
         val all = running.toList()
         running.clear()
-        all.forEach { it.cancel(result) }
+        cancel(all) { result }
+    }
+
+    private fun cancel(
+        attempts: List<TargetAttempt>,
+        result: (TargetAttempt) -> AttemptResult,
+    ): Int {
+        val executions = attempts.count { !it.wasNotSent }
+        possibleExecutions += executions
+        attempts.forEach { it.cancel(result(it)) }
+        return executions
     }
 
     /** Pauses or resumes reading from the targets. */
@@ -45,7 +88,4 @@
 
     /** Records that no attempt was answered before [timeout]. */
     fun recordTimeout(timeout: Duration) = running.forEach { it.recordTimeout(timeout) }
-
-    /** What marks the end of the answer of the only attempt. */
-    val framing: AnswerFraming? get() = running.singleOrNull()?.framing
 }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -44,8 +44,9 @@
     private val controllers: ControllerLink,
     val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     dataCenter: DataCenterName? = null,
+    connector: TargetConnector = TcpTargetConnector(loop),
+    val random: Random = Random.Default,
 ) {
-    val random = Random.Default
     val log = RequestLog(registry, time)
     private val rolloutLog = RolloutLog(registry, log, time)
     private val rollouts = RolloutTargets(
@@ -69,7 +70,7 @@
             ?: CallerAdmission.defaultMaximum(settings.maximumDescriptors ?: OpenFileLimit.read()),
         log,
     )
-    val pool = TargetPool(loop, wire, log, time)
+    val pool = TargetPool(connector, wire, log, time)
     val crashes = CrashObserver(time)
     val refusals = RefusedRequests(time, random)
     val crashDetector = CrashDetector(loop, pool, selector, crashes, time) { onCrash() }
@@ -124,7 +125,8 @@
 
     /**
      * Starts the waiting requests in the order of their arrival, a few at a time. In between, the
-     * loop reads which callers have closed their connections meanwhile.
+     * loop reads which callers have closed their connections meanwhile. A request leaves the queue
+     * when it starts or ends, so it keeps its place if the targets are lost before its turn.
      */
     private fun startWaiting() {
         if (!isServing || waitingExchanges.isEmpty() || isStartScheduled) return
@@ -134,8 +136,8 @@
 
     private fun startNext() {
         isStartScheduled = false
+        if (!isServing) return
         val next = waitingExchanges.take(STARTS_AT_ONCE)
-        waitingExchanges -= next.toSet()
         next.forEach { exchange -> exchange.guard { exchange.start() } }
         startWaiting()
     }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -54,6 +54,12 @@
         }
     }
 
+    /** Records a [step] of the request [identifier] that came too late and was ignored. */
+    fun lateStep(identifier: String?, step: String) {
+        registry.counter("forwarder.late.steps", "step", step).increment()
+        write { LOG.info("forwarder: event=late-step id={} step={}", identifier, step) }
+    }
+
     /** Logs an attempt whose response is not forwarded. */
     fun attemptFailed(summary: AttemptSummary) = write {
         LOG.info(
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetAttempt.kt
@@ -228,7 +228,7 @@
         val splitter = exchange.events
         val bytes = splitter?.append(content.content()) ?: content.content().retain()
         if (splitter != null && bytes.isReadable) exchange.onEventsForwarded(target)
-        if (bytes.isReadable) exchange.caller.writeContent(bytes) else bytes.release()
+        exchange.forwardContent(bytes)
         if (splitter?.isEventTooLong == true) {
             return rejectInvalid("event exceeds ${EventSplitter.MAXIMUM_EVENT_BYTES} bytes")
         }
@@ -274,9 +274,9 @@
         }
         finish(if (isServerError) AttemptResult.FAILED else AttemptResult.ANSWERED)
         bufferedHead?.let(exchange::forwardHead)
-        bufferedBody?.let(exchange.caller::writeContent)
+        bufferedBody?.let(exchange::forwardContent)
         bufferedBody = null
-        exchange.onResponseComplete()
+        exchange.onResponseComplete(this)
     }
 
     private fun isEventStream(response: HttpResponse): Boolean {
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/TargetPool.kt
@@ -1,35 +1,23 @@
 package org.hibiscusproxy.daemon.forwarding
 
-import io.netty.bootstrap.Bootstrap
 import io.netty.channel.ChannelFutureListener
-import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
-import io.netty.channel.EventLoop
-import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
 import kotlin.time.ComparableTimeMark
 import kotlin.time.TimeSource
 import org.hibiscusproxy.forwarding.DiscoveredTarget
-import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.TargetName
 
 /** Pool of keep-alive connections to targets. Used on the event loop only. */
 internal class TargetPool(
-    private val loop: EventLoop,
+    private val connector: TargetConnector,
     private val wire: WireFormat,
     private val log: RequestLog,
     private val time: TimeSource.WithComparableMarks,
 ) {
     private val connections = HashMap<TargetName, TargetConnections>()
     private val idle = HashMap<TargetName, ArrayDeque<TargetConnection>>()
-    private val bootstrap = Bootstrap()
-        .group(loop)
-        .channel(NioSocketChannel::class.java)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
 
     /** Called when bytes of a target have arrived. */
     var onReceived: (TargetName) -> Unit = {}
@@ -63,17 +51,13 @@
             onUnmatchedAnswer = { log.unmatchedAnswer(target.name, it) },
             onReceived = { onReceived(target.name) },
         )
-        val future = bootstrap.clone()
-            .handler(object : ChannelInitializer<SocketChannel>() {
-                override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(
-                        TargetResponseDecoder(decoderConfig(), connection),
-                        HttpRequestEncoder(),
-                        connection,
-                    )
-                }
-            })
-            .connect(target.address.socketAddress())
+        val future = connector.connect(target.address) { channel ->
+            channel.pipeline().addLast(
+                TargetResponseDecoder(decoderConfig(), connection),
+                HttpRequestEncoder(),
+                connection,
+            )
+        }
         future.addListener(
             ChannelFutureListener {
                 if (it.isSuccess) {
@@ -126,11 +110,7 @@
 
     private fun decoderConfig() = HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
 
-    private fun NetworkAddress.socketAddress() = java.net.InetSocketAddress(host, port)
-
     private companion object {
-        /** Targets are milliseconds away, and TCP resends a lost SYN only after a second. */
-        const val CONNECT_TIMEOUT_MILLISECONDS = 300
         const val MAXIMUM_HEADER_BYTES = 65_536
     }
 }
