Use a list of targets only if it was read after the one in use

Cause: lists of targets had no order. Each controller sends the last list that it read, however long the read took or however long ago it was, and a forwarder used whichever came last.

Change: controllers state when the read of a list began and when it was sent, by their own clocks. ControllerClock estimates the difference of the clocks from the message that spent the least time on its way, so that delayed messages and those that waited while the forwarder was stopped are not taken for new ones. TargetListOrder uses a list only if its read began after that of the list in use; lists of two controllers have to be 100 ms apart. A list that states no times counts as read when it arrives, as before. Registered versions keep their own order. Lists are counted by result, and those that change or would change the targets are logged (event=target-list).

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/Controller.kt
@@ -88,8 +88,11 @@
         )
     }
     private val discovery = settings.targetList?.takeIf { settings.hasDisk }?.let { address ->
-        TargetDiscovery(dependencies.ports.targetReader(address), TARGET_LIST_INTERVAL) {
-            worker.submit(ControllerInput.Targets(it))
+        TargetDiscovery(
+            dependencies.ports.targetReader(address),
+            TARGET_LIST_INTERVAL,
+        ) { targets, readAt ->
+            worker.submit(ControllerInput.Targets(targets, readAt))
         }
     }
     private var routingOperators: AutoCloseable? = null
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerCore.kt
@@ -130,7 +130,7 @@
 
             is ControllerInput.Targets -> {
                 streams.updateTargets(input.targets)
-                entries.updateTargets(input.targets)
+                entries.updateTargets(input.targets, input.readAt)
                 rollouts.updateTargets(input.targets)
             }
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerInput.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/ControllerInput.kt
@@ -1,6 +1,7 @@
 package org.hibiscusproxy.daemon.controller
 
 import java.util.concurrent.CompletableFuture
+import kotlin.time.ComparableTimeMark
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.PeerMessage
@@ -16,8 +17,9 @@
     /** The platform's list of instances, read while this replica was the leader. */
     class Platform(val list: InstanceList) : ControllerInput()
 
-    /** The platform's list of targets. */
-    class Targets(val targets: List<DiscoveredTarget>) : ControllerInput()
+    /** The platform's list of targets, whose read began at [readAt]. */
+    class Targets(val targets: List<DiscoveredTarget>, val readAt: ComparableTimeMark) :
+        ControllerInput()
 
     /** A routing call, answered by completing [reply]. */
     class Routing(val call: RoutingCall, val reply: CompletableFuture<RoutingReply>) :
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/controller/EntryFeed.kt
@@ -16,6 +16,7 @@
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.EntryLoad
 import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.ListTimes
 import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingCurrent
 import org.hibiscusproxy.protocol.RoutingRequest
@@ -49,7 +50,8 @@
     val evidence = EvidenceLedger(time)
 
     private val subscribers = LinkedHashMap<PeerSession, Subscriber>()
-    private var targets: List<DiscoveredTarget>? = null
+    private val startedAt = time.markNow()
+    private var targets: ReadTargets? = null
     private var sentVersions = 0L
     private var announcedAt = time.markNow()
     private var loadSentAt = time.markNow()
@@ -113,9 +115,9 @@
     /** Sends [message] to all subscribers. */
     fun broadcast(message: ControlMessage) = subscribers.keys.forEach { it.send(message) }
 
-    /** Stores [newTargets] and sends them to all subscribers. */
-    fun updateTargets(newTargets: List<DiscoveredTarget>) {
-        targets = newTargets
+    /** Stores [newTargets], whose read began at [readAt], and sends them to all subscribers. */
+    fun updateTargets(newTargets: List<DiscoveredTarget>, readAt: ComparableTimeMark) {
+        targets = ReadTargets(newTargets, readAt)
         sendTargets()
     }
 
@@ -125,8 +127,14 @@
         subscribers.keys.forEach { it.send(list) }
     }
 
-    private fun targetList(listed: List<DiscoveredTarget>) =
-        TargetList(listed, state.registeredVersions)
+    private fun targetList(read: ReadTargets) = TargetList(
+        read.targets,
+        state.registeredVersions,
+        ListTimes(
+            readAtMilliseconds = (read.readAt - startedAt).inWholeMilliseconds,
+            sentAtMilliseconds = startedAt.elapsedNow().inWholeMilliseconds,
+        ),
+    )
 
     /** Sends new revisions and the periodic messages that are due. */
     fun advance() {
@@ -211,6 +219,8 @@
 
     private fun current() = RoutingCurrent(state.routing.revision, isLeading, controllers())
 
+    private class ReadTargets(val targets: List<DiscoveredTarget>, val readAt: ComparableTimeMark)
+
     /** [configuration] takes about two to three times as much memory as its document. */
     private class Revision(val configuration: RoutingConfiguration?, val documentBytes: Int)
 
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeed.kt
@@ -13,6 +13,7 @@
 import org.hibiscusproxy.daemon.repeatGuarded
 import org.hibiscusproxy.daemon.transport.PeerConnection
 import org.hibiscusproxy.daemon.transport.PeerTransport
+import org.hibiscusproxy.forwarding.ControllerClock
 import org.hibiscusproxy.model.NetworkAddress
 import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.protocol.ControlMessage
@@ -39,7 +40,7 @@
  *
  * @param peerPort port of every controller's listener for processes of the fleet
  * @param knownRevision returns the revision of the active routing
- * @param onMessage called with each message; must not block
+ * @param onMessage called with each message and the clock of its controller; must not block
  * @param onLeaderFound called when a controller reports being the leader and did not before
  */
 internal class ControllerFeed(
@@ -48,8 +49,8 @@
     private val transport: PeerTransport,
     private val scope: CoroutineScope,
     private val knownRevision: () -> Long,
-    private val onMessage: (PeerMessage) -> Unit,
-    time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val onMessage: (PeerMessage, ControllerClock) -> Unit,
+    private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val onLeaderFound: () -> Unit = {},
 ) {
     private val subscriptions = ConcurrentHashMap<ProcessName, Subscription>()
@@ -144,10 +145,15 @@
             newConnection.send(RoutingRequest(knownRevision()))
             sentEvidence = 0
             connection = newConnection
-            for (message in newConnection.incoming) handle(newConnection, message)
+            val clock = ControllerClock(name, newConnection.remote.incarnation, time)
+            for (message in newConnection.incoming) handle(newConnection, message, clock)
         }
 
-        private suspend fun handle(newConnection: PeerConnection, message: PeerMessage) {
+        private suspend fun handle(
+            newConnection: PeerConnection,
+            message: PeerMessage,
+            clock: ControllerClock,
+        ) {
             if (message is RoutingCurrent) {
                 val isNewLeader = message.isLeading && !isLeading
                 isLeading = message.isLeading
@@ -167,9 +173,9 @@
                 )
             }
             when (message) {
-                is RoutingCurrent, is RoutingUpdate, is RoutingChange -> onMessage(message)
-                is TargetList, is FleetLoad -> onMessage(message)
-                is CrashSuspects, is RefusalList, is StreamAnswer -> onMessage(message)
+                is RoutingCurrent, is RoutingUpdate, is RoutingChange -> onMessage(message, clock)
+                is TargetList, is FleetLoad -> onMessage(message, clock)
+                is CrashSuspects, is RefusalList, is StreamAnswer -> onMessage(message, clock)
                 else -> Unit
             }
         }
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Forwarder.kt
@@ -22,6 +22,7 @@
 import org.hibiscusproxy.daemon.settings.Settings
 import org.hibiscusproxy.daemon.transport.KtorPeerTransport
 import org.hibiscusproxy.daemon.transport.toTransportSettings
+import org.hibiscusproxy.forwarding.ControllerClock
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.CrashSuspects
 import org.hibiscusproxy.protocol.FleetLoad
@@ -115,12 +116,12 @@
         scope.launch { block() }
     }
 
-    private fun onMessage(message: PeerMessage) = loop.execute {
+    private fun onMessage(message: PeerMessage, clock: ControllerClock) = loop.execute {
         node.recordControllerMessage()
         when (message) {
             is RoutingUpdate -> node.applyRouting(message)
             is RoutingChange -> node.applyRoutingChange(message)
-            is TargetList -> node.updateTargets(message.targets, message.versions)
+            is TargetList -> node.updateTargets(message, clock)
             is FleetLoad -> node.updateFleetLoad(message)
             is CrashSuspects -> node.crashes.updateSuspects(message)
             is RefusalList -> node.refusals.add(message)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/ForwardingNode.kt
@@ -9,16 +9,18 @@
 import kotlin.time.TimeSource
 import org.hibiscusproxy.daemon.settings.ForwarderSettings
 import org.hibiscusproxy.forwarding.CallerMemoryBudget
+import org.hibiscusproxy.forwarding.ControllerClock
 import org.hibiscusproxy.forwarding.CrashObserver
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.HedgingPolicy
+import org.hibiscusproxy.forwarding.ListPlacement
 import org.hibiscusproxy.forwarding.RefusedRequests
-import org.hibiscusproxy.forwarding.RegisteredVersions
 import org.hibiscusproxy.forwarding.RetryLimiter
 import org.hibiscusproxy.forwarding.RolloutTargets
 import org.hibiscusproxy.forwarding.RouteIndex
 import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.forwarding.StreamOrigins
+import org.hibiscusproxy.forwarding.TargetListOrder
 import org.hibiscusproxy.forwarding.TargetSelector
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.ServiceName
@@ -28,6 +30,7 @@
 import org.hibiscusproxy.protocol.RoutingChange
 import org.hibiscusproxy.protocol.RoutingUpdate
 import org.hibiscusproxy.protocol.StreamsBegun
+import org.hibiscusproxy.protocol.TargetList
 import org.hibiscusproxy.rollout.EvidenceCollector
 import org.hibiscusproxy.rollout.ExposureLimits
 import org.slf4j.LoggerFactory
@@ -87,6 +90,8 @@
 
     val hedging = HedgingPolicy(settings.secondAttemptShare)
     private val retryLog = RetryLog(registry, log, time)
+    private val listOrder = TargetListOrder(time)
+    private val targetListLog = TargetListLog(registry, log)
 
     /** Active routes; null until the first configuration is received. */
     var routes: RouteIndex? = null
@@ -176,10 +181,19 @@
         applyRouting(RoutingUpdate(change.revision, next, change.drained, change.rollouts))
     }
 
-    /** Replaces the targets by the platform's list, and the registered versions. */
-    fun updateTargets(targets: List<DiscoveredTarget>, versions: RegisteredVersions) {
-        origins.updateVersions(versions)
+    /**
+     * Replaces the targets by those of [list], which the controller of [clock] sent, unless a newer
+     * list is in use, and updates the registered versions, which have an order of their own.
+     */
+    fun updateTargets(list: TargetList, clock: ControllerClock) {
+        origins.updateVersions(list.versions)
         reportStreams()
+        val placement = listOrder.place(list, clock)
+        targetListLog.record(list.targets, clock.controller, placement)
+        if (placement is ListPlacement.Newer) updateTargets(list.targets)
+    }
+
+    private fun updateTargets(targets: List<DiscoveredTarget>) {
         selector.updateTargets(targets)
         val names = targets.mapTo(HashSet()) { it.name }
         pool.prune(names)
--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/RequestLog.kt
@@ -12,6 +12,7 @@
 import org.hibiscusproxy.forwarding.PromptPart
 import org.hibiscusproxy.forwarding.RefusalReason
 import org.hibiscusproxy.forwarding.StatedRate
+import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.rollout.Rollout
@@ -60,6 +61,25 @@
         write { LOG.info("forwarder: event=late-step id={} step={}", identifier, step) }
     }
 
+    /** Logs a list of targets that [controller] read [age] ago, and what was done with it. */
+    fun targetList(
+        controller: ProcessName,
+        result: String,
+        age: Duration,
+        targets: Int,
+        leaving: Int,
+    ) = write {
+        LOG.info(
+            "forwarder: event=target-list controller={} result={} milliseconds={} targets={} " +
+                "leaving={}",
+            controller,
+            result,
+            age.inWholeMilliseconds,
+            targets,
+            leaving,
+        )
+    }
+
     /** Logs an attempt whose response is not forwarded. */
     fun attemptFailed(summary: AttemptSummary) = write {
         LOG.info(
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CoreFixture.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/CoreFixture.kt
@@ -78,7 +78,7 @@
     }
 
     fun targets(targets: List<DiscoveredTarget>) {
-        core.handle(ControllerInput.Targets(targets))
+        core.handle(ControllerInput.Targets(targets, time.markNow()))
         core.advance()
     }
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/controller/SimulatedController.kt
@@ -142,7 +142,7 @@
     }
 
     fun targets(targets: List<DiscoveredTarget>) {
-        if (isRunning) core.handle(ControllerInput.Targets(targets))
+        if (isRunning) core.handle(ControllerInput.Targets(targets, network.time.markNow()))
     }
 
     fun operator(request: OperatorRequest): CompletableFuture<OperatorReply> {
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeedTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ControllerFeedTest.kt
@@ -81,7 +81,7 @@
                 transport,
                 backgroundScope,
                 { knownRevision },
-                { },
+                { _, _ -> },
             )
             feed.start()
             advanceTimeBy(2.seconds)
@@ -106,7 +106,9 @@
         val transport = AnnouncingTransport()
         val controllers = (1..5).map { ProcessName("127.0.0.1:700$it") }
         runTest {
-            ControllerFeed(controllers, null, transport, backgroundScope, { 7 }, { }).start()
+            ControllerFeed(controllers, null, transport, backgroundScope, {
+                7
+            }, { _, _ -> }).start()
             advanceTimeBy(1.seconds)
         }
         assertEquals<List<PeerMessage>>(controllers.map { RoutingRequest(7) }, transport.requests)
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeFailureTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeFailureTest.kt
@@ -15,7 +15,6 @@
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.ForwardingRoute
 import org.hibiscusproxy.forwarding.ForwardingService
-import org.hibiscusproxy.forwarding.RegisteredVersions
 import org.hibiscusproxy.forwarding.RequestKind
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.forwarding.ServiceShare
@@ -25,6 +24,7 @@
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.TargetList
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 
@@ -125,7 +125,7 @@
             isLeaving = false,
             slots = 10,
         )
-        node.updateTargets(listOf(listed), RegisteredVersions())
+        node.updateTargets(TargetList(listOf(listed)), controllerClock())
         node.applyRouting(
             RoutingUpdate(1, RoutingConfiguration(1, listOf(route), services), emptySet()),
         )
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ForwarderFixture.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ForwarderFixture.kt
@@ -9,6 +9,7 @@
 import kotlin.time.TestTimeSource
 import kotlin.time.TimeSource
 import org.hibiscusproxy.daemon.settings.ForwarderSettings
+import org.hibiscusproxy.forwarding.ControllerClock
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.ForwardingRoute
 import org.hibiscusproxy.forwarding.ForwardingService
@@ -19,12 +20,15 @@
 import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.SoftwareVersion
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.Incarnation
 import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.TargetList
 
 /** A forwarder on loopback without controllers, for targets that the test defines. */
 internal class ForwarderFixture(
@@ -90,7 +94,7 @@
             }
         }
         val versions = targets.keys.mapTo(LinkedHashSet()) { ServiceVersion(it, VERSION) }
-        node.updateTargets(listed, RegisteredVersions(1, versions))
+        node.updateTargets(TargetList(listed, RegisteredVersions(1, versions)), controllerClock())
         val configuration = RoutingConfiguration(1, listOf(route), services)
         node.applyRouting(RoutingUpdate(1, configuration, emptySet()))
         node.updateFleetLoad(FleetLoad(1, emptyList()))
@@ -130,4 +134,8 @@
     }
 }
 
+/** Clock of a controller whose lists state no times. */
+internal fun controllerClock() =
+    ControllerClock(ProcessName("c1"), Incarnation(1), TimeSource.Monotonic)
+
 internal fun Socket.write(text: String) = getOutputStream().write(text.encodeToByteArray())
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWaitTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/RoutingWaitTest.kt
@@ -19,7 +19,6 @@
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.ForwardingRoute
 import org.hibiscusproxy.forwarding.ForwardingService
-import org.hibiscusproxy.forwarding.RegisteredVersions
 import org.hibiscusproxy.forwarding.RequestKind
 import org.hibiscusproxy.forwarding.RoutingConfiguration
 import org.hibiscusproxy.forwarding.ServiceShare
@@ -29,6 +28,7 @@
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.RoutingUpdate
+import org.hibiscusproxy.protocol.TargetList
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 
@@ -113,7 +113,7 @@
             isLeaving = false,
             slots = 1_000,
         )
-        node.updateTargets(listOf(listed), RegisteredVersions())
+        node.updateTargets(TargetList(listOf(listed)), controllerClock())
         node.applyRouting(RoutingUpdate(1, configuration, emptySet()))
     }
 
--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/SimulatedForwarder.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/SimulatedForwarder.kt
@@ -19,6 +19,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 import org.hibiscusproxy.daemon.settings.ForwarderSettings
+import org.hibiscusproxy.forwarding.ControllerClock
 import org.hibiscusproxy.forwarding.DiscoveredTarget
 import org.hibiscusproxy.forwarding.ForwardingRoute
 import org.hibiscusproxy.forwarding.ForwardingService
@@ -29,13 +30,16 @@
 import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.model.DataCenterName
 import org.hibiscusproxy.model.NetworkAddress
+import org.hibiscusproxy.model.ProcessName
 import org.hibiscusproxy.model.ServiceName
 import org.hibiscusproxy.model.SoftwareVersion
 import org.hibiscusproxy.model.TargetName
 import org.hibiscusproxy.protocol.ControlMessage
 import org.hibiscusproxy.protocol.FleetLoad
+import org.hibiscusproxy.protocol.Incarnation
 import org.hibiscusproxy.protocol.RoutingUpdate
 import org.hibiscusproxy.protocol.StreamQuery
+import org.hibiscusproxy.protocol.TargetList
 
 /**
  * The data path of a forwarder in virtual time, on one thread. Callers and targets are channels
@@ -111,21 +115,13 @@
     }
 
     /** Replaces the list of targets by [count] targets. */
-    fun listTargets(count: Int) {
-        val listed = List(count) { index ->
-            DiscoveredTarget(
-                TargetName("target-$index"),
-                SERVICE,
-                NetworkAddress("127.0.0.1", FIRST_PORT + index),
-                DataCenterName("dc-1"),
-                isLeaving = false,
-                slots = 1_000,
-                version = VERSION,
-            )
-        }
-        val versions = RegisteredVersions(1, setOf(ServiceVersion(SERVICE, VERSION)))
-        node.updateTargets(listed, versions)
-    }
+    fun listTargets(count: Int) = receive(TargetList(List(count, ::target), VERSIONS), clock("c1"))
+
+    /** Delivers [list] of the controller of [clock]. */
+    fun receive(list: TargetList, clock: ControllerClock) = node.updateTargets(list, clock)
+
+    /** Returns a clock of [controller] that nothing is known of. */
+    fun clock(controller: String) = ControllerClock(ProcessName(controller), Incarnation(1), time)
 
     /** Runs what is due now. */
     fun turn() {
@@ -170,9 +166,21 @@
         val TIMEOUT = 6.seconds
         val SERVICE = ServiceName("orders")
         val VERSION = SoftwareVersion("v1")
+        val VERSIONS = RegisteredVersions(1, setOf(ServiceVersion(SERVICE, VERSION)))
         private val ANY_PORT = NetworkAddress("127.0.0.1", 0)
         private const val FIRST_PORT = 9_000
 
+        /** Returns the target [number]. */
+        fun target(number: Int) = DiscoveredTarget(
+            TargetName("target-$number"),
+            SERVICE,
+            NetworkAddress("127.0.0.1", FIRST_PORT + number),
+            DataCenterName("dc-1"),
+            isLeaving = false,
+            slots = 1_000,
+            version = VERSION,
+        )
+
         fun path(kind: RequestKind) = "/${kind.name.lowercase()}/"
     }
 }
--- a/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
+++ b/hibiscusproxy-library/src/main/kotlin/org/hibiscusproxy/protocol/ForwardingMessages.kt
@@ -58,16 +58,31 @@
     @SerialName("m") val controllers: List<ProcessName>,
 ) : ControlMessage()
 
+/**
+ * Times of a list of targets on the clock of the controller that sends it, in milliseconds since
+ * its process started.
+ *
+ * @property readAtMilliseconds when the controller began to read the list
+ * @property sentAtMilliseconds when the controller sent the list
+ */
+@Serializable
+data class ListTimes(
+    @SerialName("r") val readAtMilliseconds: Long,
+    @SerialName("s") val sentAtMilliseconds: Long,
+)
+
 /**
  * The list of targets that this controller last read from the platform.
  *
  * @property versions versions that the controllers have registered
+ * @property times when the list was read and sent; null from a build that does not tell
  */
 @Serializable
 @SerialName("ft")
 data class TargetList(
     @SerialName("t") val targets: List<DiscoveredTarget>,
     @SerialName("v") val versions: RegisteredVersions = RegisteredVersions(),
+    @SerialName("c") val times: ListTimes? = null,
 ) : ControlMessage()
 
 /** Requests in progress at a target from one forwarder, or from all except the receiver. */
