--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/WaitingRequestsTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/WaitingRequestsTest.kt
@@ -84,5 +84,15 @@
             forwarder.turn()
             assertEquals(emptyList(), forwarder.establishAll())
         }
+
+        /** Guards against an unknown result of a request that no target can have run. */
+        @Test
+        fun `that were not sent by their timeout are answered as not run`() {
+            forwarder.listTargets(1)
+            send("r0")
+            forwarder.elapse(SimulatedForwarder.TIMEOUT + 200.milliseconds)
+            val head = callers.getValue("r0").takeParts().first()
+            assertEquals(AnswerPart.Head(504, "not-run"), head)
+        }
     }
 }
