Name the ends of a request in Exchange

Cause: endBy did not tell what it does, and the last when had an else branch. Ruled out: any change of behaviour. Change: giveUp, and all answers named. Result: WaitingRequestsTest, ExchangeModelTest, ExchangeFailureTest and OlderTargetListTest pass.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -99,7 +99,7 @@
         val routeTimeout = matchedRoute.timeoutMilliseconds.milliseconds
         timeout = minOf(routeTimeout, metadata.callerTimeout ?: routeTimeout)
         if (node.shutdown?.permits(remaining) == false) {
-            return endBy(FinalReason.SHUTTING_DOWN, ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER)
+            return giveUp(FinalReason.SHUTTING_DOWN, ErrorResponses.ANOTHER_PROCESS_RETRY_AFTER)
         }
         val chosen = matchedRoute.selectService(node.random)
         if (matchedRoute.isResumable) {
@@ -118,7 +118,7 @@
     private fun awaitRouting() {
         if (phase is ExchangePhase.Waiting) return
         val wait = RoutingWait(this) {
-            guard { endBy(FinalReason.NO_ROUTING, RoutingWait.RETRY_AFTER) }
+            guard { giveUp(FinalReason.NO_ROUTING, RoutingWait.RETRY_AFTER) }
         }
         enter(ExchangePhase.Waiting(wait))
         wait.begin()
@@ -153,7 +153,7 @@
             is StreamOrigin.Unknown -> end(FinalAnswer.StreamRefused(FinalReason.ORIGIN_UNKNOWN))
 
             is StreamOrigin.NotAnswered ->
-                endBy(FinalReason.ORIGIN_NOT_TOLD, RoutingWait.RETRY_AFTER)
+                giveUp(FinalReason.ORIGIN_NOT_TOLD, RoutingWait.RETRY_AFTER)
         }
     }
 
@@ -166,15 +166,15 @@
 
     private fun sendToTarget() {
         if (!remaining.isPositive()) {
-            return endBy(FinalReason.TIMEOUT, ErrorResponses.BUSY_RETRY_AFTER)
+            return giveUp(FinalReason.TIMEOUT, ErrorResponses.BUSY_RETRY_AFTER)
         }
-        fingerprints.admit()?.let { return endBy(FinalReason.CRASHES_TARGETS, it) }
+        fingerprints.admit()?.let { return giveUp(FinalReason.CRASHES_TARGETS, it) }
         val request = placementRequest()
         when (val choice = node.selector.choose(request)) {
             is PlacementChoice.Chosen -> startAttempt(choice.target, choice.cachedAt)
             is PlacementChoice.Refused -> {
                 node.log.placementRefused(request.rank, choice.reason)
-                endBy(FinalReason.of(choice.reason), choice.retryAfter)
+                giveUp(FinalReason.of(choice.reason), choice.retryAfter)
             }
         }
     }
@@ -292,7 +292,7 @@
             events?.discardPartialEvent()
             sendToTarget()
         } else {
-            endBy(reason, ErrorResponses.BUSY_RETRY_AFTER)
+            giveUp(reason, ErrorResponses.BUSY_RETRY_AFTER)
         }
     }
 
@@ -352,8 +352,8 @@
         end(FinalAnswer.Forwarded)
     }
 
-    /** Ends the request because of [reason]; if it was not executed, it may come again. */
-    private fun endBy(reason: FinalReason, retryAfter: Duration) = end(
+    /** Ends the request because of [reason]; one that was not executed may come again. */
+    private fun giveUp(reason: FinalReason, retryAfter: Duration) = end(
         when (reason) {
             FinalReason.VERSION_GONE -> FinalAnswer.StreamRefused(reason)
             else -> FinalAnswer.Refused(reason, retryAfter)
@@ -375,9 +375,13 @@
         logEnd(answer)
         when (answer) {
             is FinalAnswer.Forwarded -> caller.finish()
+
             is FinalAnswer.CallerLeft -> Unit
+
             is FinalAnswer.BrokenOff -> caller.abort()
-            else -> response?.let(caller::writeResponse)
+
+            is FinalAnswer.Refused, is FinalAnswer.StreamRefused, is FinalAnswer.Failed ->
+                response?.let(caller::writeResponse)
         }
     }
 
