--- a/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeModelTest.kt
+++ b/hibiscusproxy-daemon/src/test/kotlin/org/hibiscusproxy/daemon/forwarding/ExchangeModelTest.kt
@@ -10,7 +10,6 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 import org.hibiscusproxy.forwarding.RequestKind
 import org.hibiscusproxy.forwarding.ServiceVersion
 import org.hibiscusproxy.protocol.StreamAnswer
@@ -156,7 +155,7 @@
 
         private fun shutDown() {
             isShuttingDown = true
-            val now = TimeSource.Monotonic.markNow()
+            val now = forwarder.node.time.markNow()
             forwarder.node.shutdown = ShutdownSchedule(now, 1.seconds, 2.seconds)
             forwarder.node.admission.connections.toList().forEach { it.endRequest() }
         }
