Split the log lines of a request from Exchange

Ruled out: any change of behaviour; two functions move as they are.

The larger split, of the search for a target and its attempts from the ends of a request, is not done.

--- a/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
+++ b/hibiscusproxy-daemon/src/main/kotlin/org/hibiscusproxy/daemon/forwarding/Exchange.kt
@@ -296,19 +296,6 @@
         }
     }
 
-    private fun logFailure(ended: TargetAttempt, cause: String, next: String) =
-        node.log.attemptFailed(
-            AttemptSummary(
-                metadata.requestIdentifier,
-                ended.target,
-                cause,
-                next,
-                ended.progress,
-                ended.framing,
-                metadata.prompt?.sharedParts.orEmpty(),
-            ),
-        )
-
     /** Whether a server error of an attempt is not the answer yet, as another one may succeed. */
     fun canRetry(): Boolean = attempts.size > 1 ||
         isRepeatable &&
@@ -385,8 +372,6 @@
         }
     }
 
-    private fun ignore(lateStep: String) = node.log.lateStep(metadata.requestIdentifier, lateStep)
-
     private fun logEnd(answer: FinalAnswer) = node.log.requestCompleted(
         ExchangeSummary(
             metadata.requestIdentifier,
